--- /dev/null
+++ b/pkg/core/check.go
@@ -0,0 +1,160 @@
+package core
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one mistake in a list and its place.
+type Fault struct {
+	// Place is a path such as "Grants[3].Adapters[0].Versions".
+	Place  string
+	Reason string
+}
+
+// Error returns the place and the reason.
+func (fault Fault) Error() string {
+	return fault.Place + ": " + fault.Reason
+}
+
+// keyHashLength is the length of a hexadecimal SHA-256.
+const keyHashLength = 64
+
+// CheckPlans returns every fault of the list, in the order of its entries. An
+// empty list has none.
+func CheckPlans(list Plans) []Fault {
+	var faults []Fault
+	plans := make(map[PlanID]int)
+	hashes := make(map[KeyHash]int)
+	for i, plan := range list.Plans {
+		place := fmt.Sprintf("Plans[%d]", i)
+		if plan.Plan == "" {
+			faults = append(faults, Fault{place + ".Plan", "the plan has no name"})
+		}
+		if first, ok := plans[plan.Plan]; ok {
+			faults = append(faults, Fault{place + ".Plan", fmt.Sprintf("plan %q already stands at Plans[%d]", plan.Plan, first)})
+		}
+		plans[plan.Plan] = i
+		faults = append(faults, checkPlan(place, plan)...)
+		for j, hash := range plan.KeyHashes {
+			if first, ok := hashes[hash]; ok {
+				faults = append(faults, Fault{fmt.Sprintf("%s.KeyHashes[%d]", place, j), fmt.Sprintf("the key already stands at Plans[%d]", first)})
+			}
+			hashes[hash] = i
+		}
+	}
+	return faults
+}
+
+func checkPlan(place string, plan Plan) []Fault {
+	var faults []Fault
+	if plan.Customer == "" {
+		faults = append(faults, Fault{place + ".Customer", "the plan has no customer"})
+	}
+	if len(plan.KeyHashes) == 0 {
+		faults = append(faults, Fault{place + ".KeyHashes", "the plan has no key"})
+	}
+	for j, hash := range plan.KeyHashes {
+		if len(hash) != keyHashLength || strings.Trim(string(hash), "0123456789abcdef") != "" {
+			faults = append(faults, Fault{fmt.Sprintf("%s.KeyHashes[%d]", place, j), "not a lower-case hexadecimal SHA-256"})
+		}
+	}
+	if plan.MaxRequestsPerSecond < 0 {
+		faults = append(faults, Fault{place + ".MaxRequestsPerSecond", "negative"})
+	}
+	if plan.MaxConcurrent < 0 {
+		faults = append(faults, Fault{place + ".MaxConcurrent", "negative"})
+	}
+	if plan.MaxConfigAgeSeconds < 0 {
+		faults = append(faults, Fault{place + ".MaxConfigAgeSeconds", "negative"})
+	}
+	if plan.Objectives.Target < 0 || plan.Objectives.Target >= 1 {
+		faults = append(faults, Fault{place + ".Objectives.Target", "not in [0, 1)"})
+	}
+	return faults
+}
+
+// CheckGrants returns every fault of the list, in the order of its entries. A
+// grant may name a plan that does not exist yet, since the two lists change
+// independently.
+func CheckGrants(list Grants) []Fault {
+	var faults []Fault
+	plans := make(map[PlanID]int)
+	for i, grant := range list.Grants {
+		place := fmt.Sprintf("Grants[%d]", i)
+		if grant.Plan == "" {
+			faults = append(faults, Fault{place + ".Plan", "the grant names no plan"})
+		}
+		if first, ok := plans[grant.Plan]; ok {
+			faults = append(faults, Fault{place + ".Plan", fmt.Sprintf("plan %q already stands at Grants[%d]", grant.Plan, first)})
+		}
+		plans[grant.Plan] = i
+		if grant.DeadlineMillis < 0 {
+			faults = append(faults, Fault{place + ".DeadlineMillis", "negative"})
+		}
+		faults = append(faults, checkAdapters(place, grant.Adapters)...)
+		faults = append(faults, checkServices(place, grant.Services)...)
+	}
+	return faults
+}
+
+func checkAdapters(place string, adapters []AdapterGrant) []Fault {
+	var faults []Fault
+	seen := make(map[AdapterID]int)
+	for i, adapter := range adapters {
+		at := fmt.Sprintf("%s.Adapters[%d]", place, i)
+		if adapter.Adapter == "" || strings.Contains(string(adapter.Adapter), "@") {
+			faults = append(faults, Fault{at + ".Adapter", fmt.Sprintf("%q is not an adapter name", adapter.Adapter)})
+		}
+		if first, ok := seen[adapter.Adapter]; ok {
+			faults = append(faults, Fault{at + ".Adapter", fmt.Sprintf("adapter %q already stands at Adapters[%d]", adapter.Adapter, first)})
+		}
+		seen[adapter.Adapter] = i
+		if adapter.Model == "" {
+			faults = append(faults, Fault{at + ".Model", "the grant names no base model"})
+		}
+		if len(adapter.Versions) == 0 {
+			faults = append(faults, Fault{at + ".Versions", "the grant names no version"})
+		}
+		faults = append(faults, checkVersions(at, adapter.Versions)...)
+	}
+	return faults
+}
+
+func checkVersions(place string, versions []Version) []Fault {
+	var faults []Fault
+	seen := make(map[Version]bool)
+	for i, version := range versions {
+		at := fmt.Sprintf("%s.Versions[%d]", place, i)
+		if version == "" || strings.Contains(string(version), "@") {
+			faults = append(faults, Fault{at, fmt.Sprintf("%q is not a version name", version)})
+		}
+		if seen[version] {
+			faults = append(faults, Fault{at, fmt.Sprintf("version %q stands twice", version)})
+		}
+		seen[version] = true
+	}
+	return faults
+}
+
+func checkServices(place string, services []ServiceGrant) []Fault {
+	var faults []Fault
+	seen := make(map[ServiceID]int)
+	for i, service := range services {
+		at := fmt.Sprintf("%s.Services[%d]", place, i)
+		if service.Service == "" {
+			faults = append(faults, Fault{at + ".Service", "the grant names no service"})
+		}
+		if first, ok := seen[service.Service]; ok {
+			faults = append(faults, Fault{at + ".Service", fmt.Sprintf("service %q already stands at Services[%d]", service.Service, first)})
+		}
+		seen[service.Service] = i
+		for j, call := range service.Repeatable {
+			method, path, found := strings.Cut(call, " ")
+			if !found || method == "" || !strings.HasPrefix(path, "/") {
+				faults = append(faults, Fault{fmt.Sprintf("%s.Repeatable[%d]", at, j), fmt.Sprintf("%q is not of the form METHOD /path", call)})
+			}
+		}
+	}
+	return faults
+}
