--- /dev/null
+++ b/pkg/replica/ledger/command.go
@@ -0,0 +1,172 @@
+package ledger
+
+import (
+	"time"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// Command is one entry of a replicated log. Exactly one of the pointers is set.
+type Command struct {
+	// At is the leader's time in Unix milliseconds. The leader sets it; it never
+	// decreases within a shard.
+	At      int64
+	PutList *PutList     `json:",omitempty"`
+	Assign  *Assign      `json:",omitempty"`
+	Claim   *Claim       `json:",omitempty"`
+	Record  *Record      `json:",omitempty"`
+	Crash   *CrashReport `json:",omitempty"`
+}
+
+// PutList replaces one of the two lists if Replaces is the current number.
+type PutList struct {
+	Kind     core.ListKind
+	Replaces core.ConfigNumber
+	Plans    *core.Plans  `json:",omitempty"`
+	Grants   *core.Grants `json:",omitempty"`
+	Operator string
+}
+
+// PutListResult is the answer to PutList. It is the same for every resend of the
+// same content with the same Replaces.
+type PutListResult struct {
+	Accepted bool
+	Number   core.ConfigNumber
+	Hash     string
+	// Faults is set if the list was refused as a whole.
+	Faults []core.Fault `json:",omitempty"`
+	// Winner describes the change that took the number, if it was a conflict.
+	Winner *Change `json:",omitempty"`
+}
+
+// Change is one accepted change of a list, as history keeps it.
+type Change struct {
+	Number core.ConfigNumber
+	Kind   core.ListKind
+	// Hash is the hash of the whole configuration after the change.
+	Hash string
+	// ContentHash is the hash of the list that the operator sent.
+	ContentHash string
+	Operator    string
+	At          int64
+}
+
+// Assign gives a group to a VM. The fencing token of the ownership is the index
+// of the entry shifted left by FencingShift.
+type Assign struct {
+	Group       core.GroupID
+	VM          core.VMID
+	Incarnation core.Incarnation
+	// Previous is the token that the assignment replaces; zero for a new group.
+	// The command has no effect if the current token is another one.
+	Previous core.FencingToken
+}
+
+// FencingShift leaves room below the index for the counter of a cut-off zone.
+const FencingShift = 16
+
+// Ownership is the owner of a group.
+type Ownership struct {
+	Group       core.GroupID
+	VM          core.VMID
+	Incarnation core.Incarnation
+	Token       core.FencingToken
+}
+
+// AssignResult is the answer to Assign: the ownership now in force.
+type AssignResult struct {
+	Changed   bool
+	Ownership Ownership
+}
+
+// Claim reserves an idempotency key for one attempt before the call leaves.
+type Claim struct {
+	Customer core.CustomerID
+	Key      core.IdempotencyKey
+	// Content is the fingerprint of the call; the same key with other content is
+	// refused.
+	Content core.Fingerprint
+	Attempt core.AttemptID
+	Holder  core.VMID
+	// HolderIncarnation distinguishes the runs of the holder.
+	HolderIncarnation core.Incarnation
+	// HoldMillis is the time after which a claim without an outcome counts as
+	// unknown.
+	HoldMillis int64
+}
+
+// ClaimState is the state of a key.
+type ClaimState uint8
+
+// The answers to a claim.
+const (
+	// ClaimGranted means that the attempt of the command may run the call.
+	ClaimGranted ClaimState = iota + 1
+	// ClaimInProgress means that another attempt holds the key.
+	ClaimInProgress
+	// ClaimDone means that the outcome is recorded.
+	ClaimDone
+	// ClaimUnknown means that the holder was lost before it recorded an outcome.
+	ClaimUnknown
+	// ClaimConflict means that the key was used with other content.
+	ClaimConflict
+)
+
+// ClaimResult is the answer to Claim. The same attempt gets ClaimGranted again
+// until an outcome is recorded.
+type ClaimResult struct {
+	State ClaimState
+	// Answer is set for ClaimDone.
+	Answer *Answer `json:",omitempty"`
+	// Since is the time of the claim in force, in Unix milliseconds.
+	Since int64
+}
+
+// Answer is the recorded answer of a call that ran.
+type Answer struct {
+	Status  int
+	Headers []core.Header
+	// Body is empty and Truncated is set if the body was over MaxAnswer.
+	Body      []byte
+	Truncated bool
+	BodyHash  string
+	Length    core.Bytes
+}
+
+// MaxAnswer is the largest body that is recorded.
+const MaxAnswer core.Bytes = 64 << 10
+
+// Record states the outcome of a claimed call. NotRun frees the key, Ran keeps the
+// answer, Unknown keeps the key closed. A late Ran replaces Unknown.
+type Record struct {
+	Customer core.CustomerID
+	Key      core.IdempotencyKey
+	Attempt  core.AttemptID
+	Outcome  core.Outcome
+	Answer   *Answer `json:",omitempty"`
+}
+
+// CrashReport states that an upstream was lost while it ran the given requests.
+type CrashReport struct {
+	Upstream     core.UpstreamID
+	Incarnation  core.Incarnation
+	Fingerprints []core.Fingerprint
+	// ConvictionMillis is the time for which suspicion and conviction last.
+	ConvictionMillis int64
+}
+
+// CrashesToConvict is the number of crashes of different incarnations after which
+// a fingerprint is refused.
+const CrashesToConvict = 2
+
+// Suspicion is what is known about a fingerprint that was in flight at a crash.
+type Suspicion struct {
+	Fingerprint core.Fingerprint
+	Crashes     int
+	Until       int64
+}
+
+// Millis returns the time in Unix milliseconds, the unit of all times in a ledger.
+func Millis(at time.Time) int64 {
+	return at.UnixMilli()
+}
