Add the log core and the state machine

Cause: lists, ownership and claims need one replicated order. A PutList is reduced to its difference before it is committed, because a whole list is over 1 MB at the design size. Ruled out: whole lists in the log; 10,000 changes would need over 10 GB.

--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -12,6 +13,7 @@
 	// decreases within a shard.
 	At      int64
 	PutList *PutList     `json:",omitempty"`
+	Change  *ListChange  `json:",omitempty"`
 	Assign  *Assign      `json:",omitempty"`
 	Claim   *Claim       `json:",omitempty"`
 	Record  *Record      `json:",omitempty"`
@@ -27,6 +29,19 @@
 	Operator string
 }
 
+// ListChange is a PutList in the form in which the leader commits it: a checked
+// list, reduced to what differs from the list at number Replaces.
+type ListChange struct {
+	Kind     core.ListKind
+	Replaces core.ConfigNumber
+	// Entries are the canonical JSON of the changed or new entries.
+	Entries []json.RawMessage `json:",omitempty"`
+	Removed []core.PlanID     `json:",omitempty"`
+	// ContentHash is the hash of the whole list that the operator sent.
+	ContentHash string
+	Operator    string
+}
+
 // PutListResult is the answer to PutList. It is the same for every resend of the
 // same content with the same Replaces.
 type PutListResult struct {
@@ -45,7 +60,8 @@
 	Kind   core.ListKind
 	// Hash is the hash of the whole configuration after the change.
 	Hash string
-	// ContentHash is the hash of the list that the operator sent.
+	// ContentHash is the hash of the list that the operator sent; the order of its
+	// entries does not count.
 	ContentHash string
 	Operator    string
 	At          int64
@@ -91,7 +107,7 @@
 	// HolderIncarnation distinguishes the runs of the holder.
 	HolderIncarnation core.Incarnation
 	// HoldMillis is the time after which a claim without an outcome counts as
-	// unknown.
+	// unknown, also for the attempt that holds it.
 	HoldMillis int64
 }
 
@@ -113,7 +129,7 @@
 )
 
 // ClaimResult is the answer to Claim. The same attempt gets ClaimGranted again
-// until an outcome is recorded.
+// until an outcome is recorded or the claim has become unknown.
 type ClaimResult struct {
 	State ClaimState
 	// Answer is set for ClaimDone.
@@ -137,7 +153,8 @@
 const MaxAnswer core.Bytes = 64 << 10
 
 // Record states the outcome of a claimed call. NotRun frees the key, Ran keeps the
-// answer, Unknown keeps the key closed. A late Ran replaces Unknown.
+// answer, Unknown keeps the key closed. A late Ran replaces Unknown. A NotRun that
+// arrives before its claim bars the attempt from the key.
 type Record struct {
 	Customer core.CustomerID
 	Key      core.IdempotencyKey
@@ -146,6 +163,13 @@
 	Answer   *Answer `json:",omitempty"`
 }
 
+// RecordResult is the answer to Record. It is the same for a resend.
+type RecordResult struct {
+	// Accepted is false if the attempt does not hold the key, or if another outcome
+	// stands.
+	Accepted bool
+}
+
 // CrashReport states that an upstream was lost while it ran the given requests.
 type CrashReport struct {
 	Upstream     core.UpstreamID
@@ -166,6 +190,23 @@
 	Until       int64
 }
 
+// CrashResult is the answer to CrashReport: what is now known about the reported
+// fingerprints, in their order.
+type CrashResult struct {
+	Suspicions []Suspicion
+}
+
+// Result is the answer to a Command. Exactly one field is set.
+type Result struct {
+	PutList *PutListResult `json:",omitempty"`
+	Assign  *AssignResult  `json:",omitempty"`
+	Claim   *ClaimResult   `json:",omitempty"`
+	Record  *RecordResult  `json:",omitempty"`
+	Crash   *CrashResult   `json:",omitempty"`
+	// Fault tells why a command had no effect.
+	Fault string `json:",omitempty"`
+}
+
 // Millis returns the time in Unix milliseconds, the unit of all times in a ledger.
 func Millis(at time.Time) int64 {
 	return at.UnixMilli()
--- /dev/null
+++ b/pkg/replica/ledger/snapshot.go
@@ -0,0 +1,132 @@
+package ledger
+
+import (
+	"bytes"
+	"encoding/gob"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// formatVersion is the first field of a snapshot.
+const formatVersion = 1
+
+// stored is the form of a State on disk. Its fields are part of the format.
+type stored struct {
+	Format    int
+	Now       int64
+	Applied   uint64
+	Directory uint64
+	Plans     []storedVersion
+	Grants    []storedVersion
+	Changes   []storedChange
+	Owners    []Ownership
+	Keys      []storedClaim
+	Queue     []touch
+	Answers   []claimKey
+	Suspects  []storedSuspect
+}
+
+type storedVersion struct {
+	Plan    core.PlanID
+	Number  core.ConfigNumber
+	Content []byte
+}
+
+type storedChange struct {
+	Change Change
+	Plans  []core.PlanID
+}
+
+type storedClaim struct {
+	Key   claimKey
+	Entry claimEntry
+}
+
+type storedSuspect struct {
+	Fingerprint core.Fingerprint
+	Suspect     suspect
+}
+
+// Encode returns a snapshot of the state.
+func (state *State) Encode() ([]byte, error) {
+	form := stored{
+		Format: formatVersion, Now: state.now, Applied: state.applied, Directory: state.directory,
+		Plans: state.lists.plans.store(), Grants: state.lists.grants.store(),
+		Owners: state.Owners(), Queue: state.claims.queue, Answers: state.claims.answers,
+	}
+	for _, change := range state.lists.changes {
+		form.Changes = append(form.Changes, storedChange{change.Change, change.plans})
+	}
+	for key, entry := range state.claims.keys {
+		form.Keys = append(form.Keys, storedClaim{key, *entry})
+	}
+	for fingerprint, known := range state.suspects {
+		form.Suspects = append(form.Suspects, storedSuspect{fingerprint, *known})
+	}
+	var buffer bytes.Buffer
+	if err := gob.NewEncoder(&buffer).Encode(form); err != nil {
+		return nil, errors.Wrap(err, "encode snapshot")
+	}
+	return buffer.Bytes(), nil
+}
+
+// store returns all versions of a list. The versions of one entry stand in their
+// order.
+func (series *series) store() []storedVersion {
+	var all []storedVersion
+	for plan, versions := range series.versions {
+		for _, version := range versions {
+			all = append(all, storedVersion{plan, version.number, version.content})
+		}
+	}
+	return all
+}
+
+// Decode returns the state of a snapshot.
+func Decode(limits Limits, data []byte) (*State, error) {
+	var form stored
+	if err := gob.NewDecoder(bytes.NewReader(data)).Decode(&form); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	if form.Format != formatVersion {
+		return nil, errors.Errorf("snapshot has format %d; this program reads format %d", form.Format, formatVersion)
+	}
+	state := New(limits)
+	state.now, state.applied, state.directory = form.Now, form.Applied, form.Directory
+	state.lists.plans.load(form.Plans)
+	state.lists.grants.load(form.Grants)
+	for _, change := range form.Changes {
+		state.lists.changes = append(state.lists.changes, changeRecord{change.Change, change.Plans})
+	}
+	for _, owner := range form.Owners {
+		state.owners[owner.Group] = owner
+	}
+	for _, known := range form.Suspects {
+		state.suspects[known.Fingerprint] = &known.Suspect
+	}
+	state.claims.load(form)
+	return state, nil
+}
+
+func (series *series) load(all []storedVersion) {
+	for _, stored := range all {
+		content := stored.Content
+		if len(content) == 0 {
+			content = nil
+		}
+		series.versions[stored.Plan] = append(series.versions[stored.Plan], version{stored.Number, content})
+	}
+	series.live = series.plansAt(^core.ConfigNumber(0))
+}
+
+func (table *claimTable) load(form stored) {
+	table.queue, table.answers = form.Queue, form.Answers
+	for _, claim := range form.Keys {
+		table.keys[claim.Key] = &claim.Entry
+		if claim.Entry.Answer != nil {
+			table.answerBytes += core.Bytes(len(claim.Entry.Answer.Body))
+		}
+	}
+}
