Add the files of a replica and property tests of the log core

Cause: the log must survive crashes, torn writes and full disks. Ruled out: one frame per entry; a lost sector in front of a later entry of the same write would look like damage.

--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -60,14 +60,19 @@
 // EncodeCommand returns the form in which a command is committed.
 func EncodeCommand(command Command) ([]byte, error) {
 	data, err := json.Marshal(command)
-	return data, errors.Wrap(err, "encode command")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	return data, nil
 }
 
 // DecodeCommand is the inverse of EncodeCommand.
 func DecodeCommand(data []byte) (Command, error) {
 	var command Command
-	err := json.Unmarshal(data, &command)
-	return command, errors.Wrap(err, "decode command")
+	if err := json.Unmarshal(data, &command); err != nil {
+		return Command{}, errors.Wrap(err, "decode command")
+	}
+	return command, nil
 }
 
 // Apply applies the command at an index of the log and returns its answer. The
--- /dev/null
+++ b/pkg/replica/wal/log_test.go
@@ -0,0 +1,324 @@
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionring/dandelionring/pkg/replica/raft"
+)
+
+const directory = "shard"
+
+func entries(first, last raft.Index, term raft.Term) []raft.Entry {
+	var all []raft.Entry
+	for index := first; index <= last; index++ {
+		all = append(all, raft.Entry{Index: index, Term: term, Type: raft.EntryCommand, Data: []byte(fmt.Sprint("command ", index))})
+	}
+	return all
+}
+
+func open(t interface{ Fatalf(string, ...any) }, system FileSystem) (*Log, raft.Restored) {
+	log, restored, err := Open(directory, Options{System: system, SegmentBytes: 200})
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	return log, restored
+}
+
+// model is what must be found after a crash.
+type model struct {
+	raft.Restored
+	term raft.Term
+}
+
+func (model *model) last() raft.Index {
+	return model.Snapshot.Index + raft.Index(len(model.Entries))
+}
+
+// save makes the next write of a replica: it appends, or replaces a part of the
+// log in a later term.
+func (model *model) save(t *rapid.T, log *Log) error {
+	next := *model
+	from := model.last() + 1
+	if len(model.Entries) > 0 && rapid.Bool().Draw(t, "replace") {
+		next.term++
+		from -= raft.Index(rapid.IntRange(1, len(model.Entries)).Draw(t, "replaced"))
+	}
+	added := entries(from, from+raft.Index(rapid.IntRange(0, 5).Draw(t, "added")), next.term)
+	next.Entries = append(slices.Clone(model.Entries[:from-model.Snapshot.Index-1]), added...)
+	next.HardState = raft.HardState{Term: next.term, Vote: raft.ReplicaID{VM: "vm", Incarnation: "i"}, Commit: model.Snapshot.Index}
+	if err := log.Save(next.HardState, added); err != nil {
+		return err
+	}
+	*model = next
+	return nil
+}
+
+// compact stores a snapshot of the own log.
+func (model *model) compact(t *rapid.T, log *Log) error {
+	if len(model.Entries) == 0 {
+		return nil
+	}
+	count := rapid.IntRange(1, len(model.Entries)).Draw(t, "compacted")
+	at := model.Entries[count-1]
+	snapshot := raft.Snapshot{Index: at.Index, Term: at.Term, Membership: raft.NewMembership(raft.ReplicaID{VM: "vm"}), Data: []byte("state")}
+	if err := log.SaveSnapshot(snapshot); err != nil {
+		return err
+	}
+	model.Snapshot, model.Entries = snapshot, model.Entries[count:]
+	return log.Compact(snapshot.Index)
+}
+
+// install stores a snapshot of the leader that contradicts the own log.
+func (model *model) install(log *Log) error {
+	model.term++
+	snapshot := raft.Snapshot{Index: model.last() + 3, Term: model.term, Data: []byte("installed")}
+	if err := log.SaveSnapshot(snapshot); err != nil {
+		return err
+	}
+	model.Snapshot, model.Entries = snapshot, nil
+	hard := raft.HardState{Term: model.term, Commit: snapshot.Index}
+	if err := log.Reset(hard, snapshot); err != nil {
+		return err
+	}
+	model.HardState = hard
+	return nil
+}
+
+// TestCrash guards against the loss or change of anything that Save, SaveSnapshot
+// or Reset reported as durable, wherever the process stops.
+func TestCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		system := newMemory()
+		log, _ := open(t, system)
+		identity := log.Incarnation()
+		model := &model{term: 1}
+		for range rapid.IntRange(1, 4).Draw(t, "crashes") {
+			left := rapid.IntRange(0, 60).Draw(t, "calls before the crash")
+			system.fault = func(call, _ string) error {
+				if left--; left < 0 {
+					return errCrash
+				}
+				return nil
+			}
+			err := work(t, log, model)
+			system.crash(rapid.IntRange(0, 100).Draw(t, "torn"))
+			if err != nil && !errors.Is(err, errCrash) {
+				t.Fatalf("the log failed with %v", err)
+			}
+			var restored raft.Restored
+			log, restored = open(t, system)
+			if log.Incarnation() != identity {
+				t.Fatalf("the identity changed")
+			}
+			model.check(t, restored)
+		}
+	})
+}
+
+func work(t *rapid.T, log *Log, model *model) error {
+	for {
+		var err error
+		switch rapid.IntRange(0, 9).Draw(t, "work") {
+		case 0:
+			err = model.install(log)
+		case 1, 2:
+			err = model.compact(t, log)
+		default:
+			err = model.save(t, log)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// check compares what was restored with what was reported as durable. A write that
+// was under way at the crash may be there or not; its entries extend or replace
+// the end of the log.
+func (model *model) check(t *rapid.T, restored raft.Restored) {
+	if restored.Snapshot.Index < model.Snapshot.Index {
+		t.Fatalf("snapshot %d was lost; found %d", model.Snapshot.Index, restored.Snapshot.Index)
+	}
+	if restored.HardState.Term < model.HardState.Term {
+		t.Fatalf("term %d was lost; found %d", model.HardState.Term, restored.HardState.Term)
+	}
+	isLater := restored.HardState.Term > model.HardState.Term || restored.Snapshot.Index > model.Snapshot.Index
+	if !isLater && len(restored.Entries) < len(model.Entries) {
+		t.Fatalf("%d entries were saved, %d found", len(model.Entries), len(restored.Entries))
+	}
+	for i, entry := range restored.Entries {
+		if !isLater && i < len(model.Entries) && string(entry.Data) != string(model.Entries[i].Data) {
+			t.Fatalf("entry %d has the content %q", entry.Index, entry.Data)
+		}
+		if entry.Index != restored.Snapshot.Index+raft.Index(i)+1 {
+			t.Fatalf("entry %d stands at place %d behind snapshot %d", entry.Index, i, restored.Snapshot.Index)
+		}
+	}
+	model.Restored = restored
+	model.term = max(model.term, restored.HardState.Term)
+}
+
+// TestFailedSync guards against a replica that goes on after a sync failed: a
+// second sync could succeed although the data is lost.
+func TestFailedSync(t *testing.T) {
+	is := is.New(t)
+	system := newMemory()
+	log, _ := open(t, system)
+	syncs := 0
+	system.fault = func(call, _ string) error {
+		if call != "sync" {
+			return nil
+		}
+		if syncs++; syncs == 1 {
+			return syscall.EIO
+		}
+		return nil
+	}
+	is.True(errors.Is(log.Save(raft.HardState{Term: 1}, entries(1, 1, 1)), syscall.EIO))
+	is.True(errors.Is(log.Save(raft.HardState{Term: 1}, entries(2, 2, 1)), ErrFailed))
+	is.True(errors.Is(log.SaveSnapshot(raft.Snapshot{Index: 1}), ErrFailed))
+	is.Equal(syncs, 1)
+}
+
+// TestFullDisk guards against a full disk that is reported as another fault, and
+// against a half-written entry that is read later.
+func TestFullDisk(t *testing.T) {
+	is := is.New(t)
+	system := newMemory()
+	log, _ := open(t, system)
+	is.NoErr(log.Save(raft.HardState{Term: 1}, entries(1, 1, 1)))
+	system.fault = func(call, _ string) error {
+		if call == "write" {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	is.True(errors.Is(log.Save(raft.HardState{Term: 1}, entries(2, 2, 1)), ErrDiskFull))
+	system.crash(1000)
+	_, restored := open(t, system)
+	is.Equal(len(restored.Entries), 1)
+}
+
+// TestDamage guards against damaged data that is taken for a torn write, and
+// against a report without the place. Only the last write may be cut off.
+func TestDamage(t *testing.T) {
+	is := is.New(t)
+	system := newMemory()
+	log, _ := open(t, system)
+	for index := raft.Index(1); index <= 12; index++ {
+		is.NoErr(log.Save(raft.HardState{Term: 1}, entries(index, index, 1)))
+	}
+	is.NoErr(log.SaveSnapshot(raft.Snapshot{Index: 2, Term: 1, Data: []byte("state")}))
+	is.True(len(log.segments) > 2)
+	lastSegment := filepath.Join(directory, segmentName(log.segments[len(log.segments)-1].number))
+	last := lastFrame(system.files[lastSegment].content)
+	is.NoErr(log.Close())
+	for path, file := range system.files {
+		for at := range file.content {
+			file.content[at] ^= 0xff
+			opened, restored, err := Open(directory, Options{System: system})
+			var damage *DamageError
+			switch {
+			case path == lastSegment && at >= last:
+				is.NoErr(err)
+				is.Equal(len(restored.Entries), 9) // all but the last of entries 3 to 12
+				is.NoErr(opened.Close())
+				return
+			case errors.As(err, &damage):
+				is.Equal(damage.File, path)
+				is.True(damage.Offset <= int64(at))
+			default:
+				t.Fatalf("byte %d of %s was changed unnoticed: %v", at, path, err)
+			}
+			file.content[at] ^= 0xff
+		}
+	}
+}
+
+// lastFrame returns the offset of the last frame.
+func lastFrame(content []byte) int {
+	at, last := 0, 0
+	for at < len(content) {
+		_, size, ok := readFrame(content[at:])
+		if !ok {
+			break
+		}
+		last = at
+		at += size
+	}
+	return last
+}
+
+// TestMissingFiles guards against a folder that lost a part and starts as if it
+// were new or whole.
+func TestMissingFiles(t *testing.T) {
+	for _, missing := range []string{identityFile, segmentName(2), "all" + segmentSuffix} {
+		t.Run(missing, func(t *testing.T) {
+			is := is.New(t)
+			system := newMemory()
+			log, _ := open(t, system)
+			for index := raft.Index(1); index <= 12; index++ {
+				is.NoErr(log.Save(raft.HardState{Term: 1}, entries(index, index, 1)))
+			}
+			is.NoErr(log.Close())
+			for path := range system.files {
+				if filepath.Base(path) == missing || missing == "all"+segmentSuffix && strings.HasSuffix(path, segmentSuffix) {
+					delete(system.files, path)
+				}
+			}
+			_, _, err := Open(directory, Options{System: system})
+			var damage *DamageError
+			is.True(errors.As(err, &damage))
+		})
+	}
+}
+
+// TestLock guards against two processes that write to one folder, and against a
+// lock that outlives its process. It uses real files.
+func TestLock(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	log, _, err := Open(folder, Options{})
+	is.NoErr(err)
+	_, _, err = Open(folder, Options{})
+	is.True(errors.Is(err, ErrLocked))
+	is.NoErr(log.Save(raft.HardState{Term: 3}, entries(1, 4, 3)))
+	is.NoErr(log.Close())
+	log, restored, err := Open(folder, Options{})
+	is.NoErr(err)
+	is.Equal(restored.HardState.Term, raft.Term(3))
+	is.Equal(len(restored.Entries), 4)
+	is.NoErr(log.Close())
+}
+
+// FuzzDecode guards against a decoder that panics or allocates without bound on
+// damaged data, and against data that changes when it is written again.
+func FuzzDecode(f *testing.F) {
+	full := batch{hard: &raft.HardState{Term: 2, Commit: 1}, reset: &position{3, 1}, entries: entries(4, 6, 2)}
+	f.Add(appendFrame(nil, full.encode()))
+	f.Add(encodeSnapshot(raft.Snapshot{Index: 1, Term: 1, Data: []byte("state")}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, _ = decodeSnapshot("file", data)
+		payload, _, ok := readFrame(data)
+		if !ok {
+			payload = data
+		}
+		first, err := decodeBatch(payload)
+		if err != nil {
+			return
+		}
+		again, err := decodeBatch(first.encode())
+		if err != nil || len(again.entries) != len(first.entries) {
+			t.Fatalf("%v changed to %v: %v", first, again, err)
+		}
+	})
+}
