Add the host that runs replicas and the client of the shards

Cause: commands need a place that persists, sends and applies them. Ruled out: every VM may found the group; two groups could then differ.

--- /dev/null
+++ b/internal/host/config.go
@@ -0,0 +1,81 @@
+package host
+
+import (
+	"io"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+	"github.com/dandelionring/dandelionring/pkg/replica/wal"
+)
+
+// Config sets up a Host. Zero values mean the defaults.
+type Config struct {
+	VM core.VMID
+	// DiskVMs are all VMs that have a disk, in the same order on every VM.
+	DiskVMs []core.VMID
+	// ClaimShards is the number of shards that hold claims: shards 1 to ClaimShards.
+	ClaimShards core.ShardID
+	// Directory holds one folder per shard.
+	Directory string
+	// System replaces the files of the operating system in tests.
+	System wal.FileSystem
+	Limits ledger.Limits
+	// Tick is the unit of the replicas' time.
+	Tick           time.Duration
+	HeartbeatTicks int
+	ElectionTicks  int
+	// ManageInterval is the time between two looks at the other disk VMs.
+	ManageInterval time.Duration
+	// SnapshotEntries and SnapshotBytes bound the log between two snapshots.
+	SnapshotEntries int
+	SnapshotBytes   core.Bytes
+	// MaxPending bounds the commands of a shard that wait for their commit.
+	MaxPending int
+	Logger     *log.Logger
+}
+
+// The defaults of Config.
+const (
+	// defaultTick, with the two numbers of ticks, gives a heartbeat every 100 ms and
+	// an election after 500 ms to 1 s, so that a new leader works within 1.5 s.
+	defaultTick           = 50 * time.Millisecond
+	defaultHeartbeatTicks = 2
+	defaultElectionTicks  = 10
+	defaultManageInterval = 500 * time.Millisecond
+	// defaultSnapshotEntries bounds the entries that a start has to apply.
+	defaultSnapshotEntries            = 10_000
+	defaultSnapshotBytes   core.Bytes = 32 << 20 // a quarter of the memory of a node's control state
+	defaultMaxPending                 = 8192
+)
+
+func (config Config) withDefaults() Config {
+	orDefault(&config.ClaimShards, 1)
+	orDefault(&config.Tick, defaultTick)
+	orDefault(&config.HeartbeatTicks, defaultHeartbeatTicks)
+	orDefault(&config.ElectionTicks, defaultElectionTicks)
+	orDefault(&config.ManageInterval, defaultManageInterval)
+	orDefault(&config.SnapshotEntries, defaultSnapshotEntries)
+	orDefault(&config.SnapshotBytes, defaultSnapshotBytes)
+	orDefault(&config.MaxPending, defaultMaxPending)
+	if config.Logger == nil {
+		config.Logger = log.New(io.Discard)
+	}
+	return config
+}
+
+func orDefault[Value comparable](value *Value, fallback Value) {
+	var zero Value
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// founder returns the VM that may form the first group of replicas: only one, so
+// that two groups can never form.
+func (config Config) founder() core.VMID {
+	return slices.Min(config.DiskVMs)
+}
--- /dev/null
+++ b/internal/host/member.go
@@ -0,0 +1,156 @@
+package host
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+	"github.com/dandelionring/dandelionring/pkg/replica/raft"
+)
+
+// found forms the group of replicas with this replica as its first one.
+func (worker *worker) found(members *raft.Membership) error {
+	if members == nil || !worker.node.IsEmpty() {
+		return nil
+	}
+	data, err := ledger.New(worker.replica.config.Limits).Encode()
+	if err != nil {
+		return err
+	}
+	first := raft.Snapshot{Index: 1, Term: 1, Membership: *members, Data: data}
+	hard := raft.HardState{Term: 1, Commit: 1}
+	if err := worker.files.SaveSnapshot(first); err != nil {
+		return err
+	}
+	if err := worker.files.Reset(hard, first); err != nil {
+		return err
+	}
+	worker.replica.logger.Info("Formed the group of replicas.", "voters", len(members.Voters))
+	return worker.restore(raft.Restored{HardState: hard, Snapshot: first})
+}
+
+// join takes a replica into the group: first as a learner and, once it holds
+// everything, as a voter in place of the former replica of its VM.
+func (worker *worker) join(id raft.ReplicaID) {
+	members := worker.node.Status().Membership
+	var err error
+	switch {
+	case members.IsVoter(id):
+		return
+	case members.IsLearner(id):
+		_, err = worker.node.Promote(id)
+	default:
+		_, err = worker.node.AddLearner(id)
+	}
+	if err == nil {
+		worker.replica.logger.Info("Changed the group of replicas.", "replica", id.String())
+	}
+	// Any error goes away or comes back with the next look at the VMs.
+}
+
+// manage looks at the other disk VMs from time to time until ctx ends.
+func (host *Host) manage(ctx context.Context) {
+	ticker := time.NewTicker(host.config.ManageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			for _, replica := range host.replicas {
+				host.manageReplica(ctx, replica)
+			}
+		}
+	}
+}
+
+func (host *Host) manageReplica(ctx context.Context, replica *Replica) {
+	_, leads := replica.IsLeader()
+	founds := replica.empty.Load() && host.config.VM == host.config.founder()
+	if !leads && !founds {
+		return
+	}
+	infos := host.survey(ctx, replica)
+	if leads {
+		replica.queue.put(func(waiting *work) { waiting.joining = joining(infos) })
+		return
+	}
+	if members, ok := host.founding(infos); ok {
+		replica.queue.put(func(waiting *work) { waiting.founding = &members })
+	}
+}
+
+// survey asks every disk VM about its replica. A VM that does not answer is
+// missing in the result.
+func (host *Host) survey(ctx context.Context, replica *Replica) map[core.VMID]*wire.ReplicaInfoResult {
+	ctx, cancel := context.WithTimeout(ctx, host.config.ManageInterval)
+	defer cancel()
+	infos := map[core.VMID]*wire.ReplicaInfoResult{host.config.VM: replica.info()}
+	var lock sync.Mutex // a leaf: guards infos
+	var group sync.WaitGroup
+	for _, vm := range host.config.DiskVMs {
+		if vm == host.config.VM {
+			continue
+		}
+		group.Go(func() {
+			info, err := host.ask(ctx, vm, replica.shard)
+			if err != nil {
+				return
+			}
+			lock.Lock()
+			defer lock.Unlock()
+			infos[vm] = info
+		})
+	}
+	group.Wait()
+	return infos
+}
+
+func (host *Host) ask(ctx context.Context, vm core.VMID, shard core.ShardID) (*wire.ReplicaInfoResult, error) {
+	request := &wire.Request{Body: &wire.Request_ReplicaInfo{ReplicaInfo: &wire.ReplicaInfo{Shard: uint32(shard)}}}
+	response, err := host.caller.Call(ctx, vm, request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "ask %s about shard %d", vm, shard)
+	}
+	info := response.GetReplicaInfoResult()
+	if info == nil || info.GetVm() != string(vm) || info.GetIncarnation() == "" {
+		return nil, errors.Errorf("%s does not answer for shard %d", vm, shard)
+	}
+	return info, nil
+}
+
+// joining returns the replicas that answered, in a fixed order.
+func joining(infos map[core.VMID]*wire.ReplicaInfoResult) []raft.ReplicaID {
+	var ids []raft.ReplicaID
+	for vm, info := range infos {
+		ids = append(ids, raft.ReplicaID{VM: vm, Incarnation: core.Incarnation(info.GetIncarnation())})
+	}
+	slices.SortFunc(ids, func(a, b raft.ReplicaID) int { return slices.Compare([]core.VMID{a.VM}, []core.VMID{b.VM}) })
+	return ids
+}
+
+// founding returns the first membership if every disk VM is present and empty. An
+// empty disk beside one that is not has lost its content; then the others go on.
+func (host *Host) founding(infos map[core.VMID]*wire.ReplicaInfoResult) (raft.Membership, bool) {
+	for _, vm := range host.config.DiskVMs {
+		if info := infos[vm]; info == nil || !info.GetEmpty() {
+			return raft.Membership{}, false
+		}
+	}
+	return raft.NewMembership(joining(infos)...), true
+}
+
+// info describes the replica to other VMs.
+func (replica *Replica) info() *wire.ReplicaInfoResult {
+	status := replica.status.Load()
+	return &wire.ReplicaInfoResult{
+		Vm: string(replica.id.VM), Incarnation: string(replica.id.Incarnation), Empty: replica.empty.Load(),
+		LeaderVm: string(status.Leader.VM), Term: uint64(status.Term), Commit: uint64(status.Commit),
+	}
+}
--- a/pkg/replica/raft/node.go
+++ b/pkg/replica/raft/node.go
@@ -217,6 +217,8 @@
 	}
 	if node.elapsed >= node.timeout {
 		node.resetTimeout()
+		// A learner forgets the leader too, or it would refuse every candidate.
+		node.leader = ReplicaID{}
 		if node.members().IsVoter(node.config.ID) {
 			node.campaign(PreCandidate)
 		}
