--- /dev/null
+++ b/pkg/replica/ledger/script_test.go
@@ -0,0 +1,238 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// script runs the commands of a data file against a state. Every argument has the
+// form name=value; at is the time of the command in milliseconds.
+type script struct {
+	t     *testing.T
+	state *State
+	index uint64
+	// view is a configuration that follows the state by deltas.
+	view core.Config
+}
+
+// TestScripts guards the answers of the state machine: history and conflicts of
+// the lists, deltas, ownership, claims and crash reports. Each file says what it
+// guards against.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		script := &script{t: t, state: New(Limits{AnswerBytes: 100})}
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			script.t = t
+			return strings.TrimSuffix(script.run(data), "\n") + "\n"
+		})
+	})
+}
+
+func (script *script) run(data *datadriven.TestData) string {
+	switch data.Cmd {
+	case "plans", "grants":
+		return script.put(data)
+	case "assign":
+		return script.assign(data)
+	case "claim":
+		return script.claim(data)
+	case "record":
+		return script.record(data)
+	case "crash":
+		return script.crash(data)
+	case "restart":
+		return script.restart()
+	case "at":
+		return script.at(core.ConfigNumber(number(data, "number")))
+	case "delta":
+		return script.delta(core.ConfigNumber(number(data, "since")))
+	case "follow":
+		return script.follow()
+	case "suspicions":
+		return render(script.state.Suspicions())
+	case "keys":
+		return fmt.Sprint(script.state.Claims())
+	default:
+		return "unknown command " + data.Cmd
+	}
+}
+
+func text(data *datadriven.TestData, name string) string {
+	for _, arg := range data.CmdArgs {
+		if arg.Key == name && len(arg.Vals) > 0 {
+			return arg.Vals[0]
+		}
+	}
+	return ""
+}
+
+func number(data *datadriven.TestData, name string) int64 {
+	value, _ := strconv.ParseInt(text(data, name), 10, 64)
+	return value
+}
+
+func render(value any) string {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return err.Error()
+	}
+	return string(encoded)
+}
+
+// apply sends the command through its encoding, as the log does.
+func (script *script) apply(data *datadriven.TestData, command Command) Result {
+	command.At = number(data, "at")
+	reduced, result, settled := script.state.Reduce(command)
+	if settled && !data.HasArg("raw") {
+		return result
+	}
+	if data.HasArg("raw") {
+		reduced = command
+	}
+	encoded, err := EncodeCommand(reduced)
+	if err != nil {
+		script.t.Fatal(err)
+	}
+	decoded, err := DecodeCommand(encoded)
+	if err != nil {
+		script.t.Fatal(err)
+	}
+	script.index++
+	return script.state.Apply(script.index, decoded)
+}
+
+// put reads one entry a line: a plan and its customer, or a plan and its adapters.
+func (script *script) put(data *datadriven.TestData) string {
+	command := &PutList{Replaces: core.ConfigNumber(number(data, "replaces")), Operator: text(data, "operator")}
+	if data.Cmd == "plans" {
+		command.Kind, command.Plans = core.PlansList, &core.Plans{}
+	} else {
+		command.Kind, command.Grants = core.GrantsList, &core.Grants{}
+	}
+	for line := range strings.Lines(data.Input) {
+		fields := strings.Fields(line)
+		if data.Cmd == "plans" {
+			key := core.KeyHash(fmt.Sprintf("%064x", fields[0]))
+			command.Plans.Plans = append(command.Plans.Plans, core.Plan{Plan: core.PlanID(fields[0]), Customer: core.CustomerID(fields[1]), KeyHashes: []core.KeyHash{key}})
+			continue
+		}
+		grant := core.Grant{Plan: core.PlanID(fields[0])}
+		for _, adapter := range fields[1:] {
+			grant.Adapters = append(grant.Adapters, core.AdapterGrant{Adapter: core.AdapterID(adapter), Model: "m", Versions: []core.Version{"1"}})
+		}
+		command.Grants.Grants = append(command.Grants.Grants, grant)
+	}
+	result := script.apply(data, Command{PutList: command}).PutList
+	line := fmt.Sprintf("accepted=%t number=%d hash=%.8s", result.Accepted, result.Number, result.Hash)
+	if result.Winner != nil {
+		line += fmt.Sprintf(" winner=%d by %s", result.Winner.Number, result.Winner.Operator)
+	}
+	for _, fault := range result.Faults {
+		line += "\n" + fault.Error()
+	}
+	return line
+}
+
+func (script *script) assign(data *datadriven.TestData) string {
+	result := script.apply(data, Command{Assign: &Assign{
+		Group: core.GroupID{Zone: "z", Kind: core.EngineGroup, Name: text(data, "group")},
+		VM:    core.VMID(text(data, "vm")), Incarnation: "1", Previous: core.FencingToken(number(data, "previous")),
+	}}).Assign
+	return fmt.Sprintf("changed=%t owner=%s token=%d directory=%d", result.Changed, result.Ownership.VM, result.Ownership.Token, script.state.DirectoryNumber())
+}
+
+func (script *script) claim(data *datadriven.TestData) string {
+	result := script.apply(data, Command{Claim: &Claim{
+		Customer: core.CustomerID(text(data, "customer")), Key: core.IdempotencyKey(text(data, "key")),
+		Content: core.Fingerprint(text(data, "content")), Attempt: core.AttemptID(text(data, "attempt")),
+		Holder: core.VMID(text(data, "vm")), HolderIncarnation: core.Incarnation(text(data, "run")), HoldMillis: number(data, "hold"),
+	}}).Claim
+	names := map[ClaimState]string{ClaimGranted: "granted", ClaimInProgress: "in progress", ClaimDone: "done", ClaimUnknown: "unknown", ClaimConflict: "conflict"}
+	line := fmt.Sprintf("%s since=%d", names[result.State], result.Since)
+	if answer := result.Answer; answer != nil {
+		line += fmt.Sprintf(" status=%d body=%q truncated=%t length=%d", answer.Status, answer.Body, answer.Truncated, answer.Length)
+	}
+	return line
+}
+
+func (script *script) record(data *datadriven.TestData) string {
+	outcome, _ := core.ParseOutcome(text(data, "outcome"))
+	record := &Record{
+		Customer: core.CustomerID(text(data, "customer")), Key: core.IdempotencyKey(text(data, "key")),
+		Attempt: core.AttemptID(text(data, "attempt")), Outcome: outcome,
+	}
+	if outcome == core.Ran {
+		size := number(data, "size")
+		record.Answer = &Answer{Status: 200, Body: []byte(strings.Repeat("x", int(size))), Length: core.Bytes(size)}
+	}
+	return fmt.Sprintf("accepted=%t", script.apply(data, Command{Record: record}).Record.Accepted)
+}
+
+func (script *script) crash(data *datadriven.TestData) string {
+	report := &CrashReport{Upstream: core.UpstreamID(text(data, "upstream")), Incarnation: core.Incarnation(text(data, "run")), ConvictionMillis: 600_000}
+	for name := range strings.FieldsSeq(data.Input) {
+		report.Fingerprints = append(report.Fingerprints, core.Fingerprint(name))
+	}
+	return render(script.apply(data, Command{Crash: report}).Crash.Suspicions)
+}
+
+// restart replaces the state by what its snapshot restores.
+func (script *script) restart() string {
+	encoded, err := script.state.Encode()
+	if err != nil {
+		return err.Error()
+	}
+	restored, err := Decode(script.state.limits, encoded)
+	if err != nil {
+		return err.Error()
+	}
+	script.state = restored
+	return "ok"
+}
+
+func (script *script) at(number core.ConfigNumber) string {
+	config, ok, err := script.state.At(number)
+	if err != nil || !ok {
+		return fmt.Sprint("not accepted ", err)
+	}
+	var lines []string
+	for _, plan := range config.Plans.Plans {
+		lines = append(lines, fmt.Sprintf("plan %s %s", plan.Plan, plan.Customer))
+	}
+	for _, grant := range config.Grants.Grants {
+		line := "grant " + string(grant.Plan)
+		for _, adapter := range grant.Adapters {
+			line += " " + string(adapter.Adapter)
+		}
+		lines = append(lines, line)
+	}
+	hash := Hash(config.Plans, config.Grants)
+	return strings.Join(append(lines, fmt.Sprintf("hash matches: %t", number == 0 || hash == config.Hash)), "\n")
+}
+
+func (script *script) delta(since core.ConfigNumber) string {
+	delta := script.state.DeltaSince(since)
+	names := func(entries []json.RawMessage) []core.PlanID {
+		plans, _ := planIDs(entries)
+		return plans
+	}
+	return fmt.Sprintf("%d to %d: plans %v -%v grants %v -%v", delta.From, delta.To, names(delta.Plans), delta.RemovedPlans, names(delta.Grants), delta.RemovedGrants)
+}
+
+// follow applies the missing delta to the view and compares it with the state.
+func (script *script) follow() string {
+	next, err := script.state.DeltaSince(script.view.Number).Apply(script.view)
+	if err != nil {
+		return err.Error()
+	}
+	script.view = next
+	inForce, _, _ := script.state.At(script.state.Number())
+	return fmt.Sprintf("number=%d same=%t", next.Number, render(next) == render(inForce))
+}
