--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
+
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+const (
+	pingInterval = 500 * time.Millisecond
+	// pingTimeout is the silence after which a link is closed and dialled anew.
+	pingTimeout = 1500 * time.Millisecond
+	dialTimeout = 1500 * time.Millisecond
+)
+
+// sessionConfig switches yamux's own keep-alive off, since the ping of this package
+// also decides when a fresh connection is dialled.
+func sessionConfig() *yamux.Config {
+	config := yamux.DefaultConfig()
+	config.EnableKeepAlive = false
+	config.ConnectionWriteTimeout = pingTimeout
+	config.StreamOpenTimeout = pingTimeout
+	config.StreamCloseTimeout = pingTimeout
+	config.MaxStreamWindowSize = 1 << 20
+	config.LogOutput = io.Discard
+	return config
+}
+
+// UnreachableError is returned if a peer could not be asked or did not answer.
+type UnreachableError struct {
+	VM core.VMID
+	// Sent is false if no byte of the request left this VM.
+	Sent bool
+	Err  error
+}
+
+// Error returns the name of the VM and the cause.
+func (err *UnreachableError) Error() string {
+	return fmt.Sprintf("VM %q: %v", err.VM, err.Err)
+}
+
+// Unwrap returns the cause.
+func (err *UnreachableError) Unwrap() error {
+	return err.Err
+}
+
+// FailureError is a peer's answer that it could not handle a request.
+type FailureError struct {
+	VM      core.VMID
+	Message string
+}
+
+// Error returns the name of the VM and its message.
+func (err *FailureError) Error() string {
+	return fmt.Sprintf("VM %q: %s", err.VM, err.Message)
+}
+
+// Client sends requests to other VMs over one link to each.
+type Client struct {
+	self      Identity
+	addresses map[core.VMID]string
+	logger    *log.Logger
+	ctx       context.Context
+	running   sync.WaitGroup
+
+	// mutex guards links and is held for no other lock.
+	mutex sync.Mutex
+	links map[core.VMID]*link
+}
+
+// NewClient returns a client for the peers at the given addresses and a function
+// that closes all links. Links are dialled with the first request.
+func NewClient(self Identity, addresses map[core.VMID]string, logger *log.Logger) (*Client, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := &Client{self: self, addresses: addresses, logger: logger, ctx: ctx, links: make(map[core.VMID]*link)}
+	return client, func() {
+		cancel() // ends the ping of each link, which closes it
+		client.running.Wait()
+	}
+}
+
+// Call sends a request and returns the one response. It returns an
+// *UnreachableError if the peer does not answer before the context ends, and a
+// *FailureError if the peer could not handle the request.
+func (client *Client) Call(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.Response, error) {
+	var answer *wire.Response
+	err := client.Stream(ctx, vm, request, func(response *wire.Response) bool {
+		answer = response
+		return false
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// Stream sends a request and passes every response to receive until it returns
+// false. It returns an *UnreachableError if the link is lost or the context ends
+// before, and a *FailureError if the peer could not handle the request.
+func (client *Client) Stream(ctx context.Context, vm core.VMID, request *wire.Request, receive func(*wire.Response) bool) error {
+	link, err := client.link(ctx, vm)
+	if err != nil {
+		return &UnreachableError{VM: vm, Err: err}
+	}
+	stream, err := link.session.OpenStream()
+	if err != nil {
+		link.close()
+		return &UnreachableError{VM: vm, Err: errors.Wrap(err, "open stream")}
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() {
+		_ = stream.SetDeadline(time.Unix(1, 0))
+		stream.Close()
+	})
+	defer stop()
+	if err := writeFrame(stream, request); err != nil {
+		return &UnreachableError{VM: vm, Sent: true, Err: cause(ctx, err)}
+	}
+	for {
+		var response wire.Response
+		if err := readFrame(stream, &response); err != nil {
+			return &UnreachableError{VM: vm, Sent: true, Err: cause(ctx, err)}
+		}
+		if failure := response.GetFailure(); failure != nil {
+			return &FailureError{VM: vm, Message: failure.Message}
+		}
+		if !receive(&response) {
+			return nil
+		}
+	}
+}
+
+// Drop closes the link to a VM, so that the next request dials a fresh connection.
+func (client *Client) Drop(vm core.VMID) {
+	client.mutex.Lock()
+	link := client.links[vm]
+	client.mutex.Unlock()
+	if link != nil && link.isReady() {
+		link.close()
+	}
+}
+
+func cause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// link returns the open link to a VM. One goroutine dials; the others wait for it.
+func (client *Client) link(ctx context.Context, vm core.VMID) (*link, error) {
+	address, ok := client.addresses[vm]
+	if !ok {
+		return nil, errors.New("no address is known")
+	}
+	client.mutex.Lock()
+	current := client.links[vm]
+	if current == nil || current.isClosed() {
+		current = &link{ready: make(chan struct{}), closed: make(chan struct{})}
+		client.links[vm] = current
+		client.running.Go(func() { client.dial(vm, address, current) })
+	}
+	client.mutex.Unlock()
+	select {
+	case <-current.ready:
+		return current, current.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (client *Client) dial(vm core.VMID, address string, link *link) {
+	session, err := client.open(vm, address)
+	link.session, link.err = session, err
+	if err != nil {
+		link.close()
+		close(link.ready)
+		return
+	}
+	close(link.ready)
+	client.ping(vm, link)
+}
+
+func (client *Client) open(vm core.VMID, address string) (*yamux.Session, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(client.ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial")
+	}
+	name, err := dialHandshake(conn, client.self)
+	if err == nil && name != vm {
+		err = &HandshakeError{Reason: fmt.Sprintf("address %s belongs to VM %q", address, name)}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "open link")
+	}
+	session, err := yamux.Client(conn, sessionConfig())
+	if err != nil {
+		conn.Close()
+		return nil, errors.Wrap(err, "open session")
+	}
+	return session, nil
+}
+
+// ping checks the link until it is closed or does not answer in time.
+func (client *Client) ping(vm core.VMID, link *link) {
+	defer link.close()
+	ticker := time.NewTicker(pingInterval)
+	defer ticker.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		select {
+		case <-client.ctx.Done():
+			return
+		case <-link.closed:
+			return
+		case <-link.session.CloseChan():
+			return
+		case <-ticker.C:
+		}
+		if err := link.ping(sequence); err != nil {
+			client.logger.Warn("Link lost.", "peer", vm, "error", err)
+			return
+		}
+	}
+}
+
+// link is one connection to a peer. session and err are set before ready is closed.
+type link struct {
+	ready   chan struct{}
+	closed  chan struct{}
+	once    sync.Once
+	session *yamux.Session
+	err     error
+}
+
+func (link *link) isReady() bool {
+	select {
+	case <-link.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+func (link *link) isClosed() bool {
+	select {
+	case <-link.closed:
+		return true
+	default:
+		return link.isReady() && (link.err != nil || link.session.IsClosed())
+	}
+}
+
+func (link *link) close() {
+	link.once.Do(func() {
+		close(link.closed)
+		if link.session != nil {
+			link.session.Close()
+		}
+	})
+}
+
+func (link *link) ping(sequence uint64) error {
+	stream, err := link.session.OpenStream()
+	if err != nil {
+		return errors.Wrap(err, "open ping stream")
+	}
+	defer stream.Close()
+	if err := stream.SetDeadline(time.Now().Add(pingTimeout)); err != nil {
+		return errors.Wrap(err, "set ping deadline")
+	}
+	request := &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{Sequence: sequence}}}
+	if err := writeFrame(stream, request); err != nil {
+		return errors.Wrap(err, "send ping")
+	}
+	var response wire.Response
+	if err := readFrame(stream, &response); err != nil {
+		return errors.Wrap(err, "receive pong")
+	}
+	if response.GetPong().GetSequence() != sequence {
+		return errors.New("pong does not match the ping")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// MaxFrame is the largest encoded message in bytes.
+const MaxFrame = 4 << 20
+
+// frameHeader is the length of the big-endian length that precedes a message.
+const frameHeader = 4
+
+// FrameSizeError is returned for a message over MaxFrame.
+type FrameSizeError struct {
+	Size int
+}
+
+// Error returns the size and the limit.
+func (err *FrameSizeError) Error() string {
+	return fmt.Sprintf("message of %d bytes is over the limit of %d", err.Size, MaxFrame)
+}
+
+func writeFrame(writer io.Writer, message proto.Message) error {
+	buffer := make([]byte, frameHeader, frameHeader+proto.Size(message))
+	buffer, err := proto.MarshalOptions{}.MarshalAppend(buffer, message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	size := len(buffer) - frameHeader
+	if size > MaxFrame {
+		return &FrameSizeError{Size: size}
+	}
+	binary.BigEndian.PutUint32(buffer, uint32(size))
+	_, err = writer.Write(buffer)
+	return errors.Wrap(err, "write message")
+}
+
+func readFrame(reader io.Reader, message proto.Message) error {
+	var header [frameHeader]byte
+	if _, err := io.ReadFull(reader, header[:]); err != nil {
+		return errors.Wrap(err, "read message length")
+	}
+	size := int(binary.BigEndian.Uint32(header[:]))
+	if size > MaxFrame {
+		return &FrameSizeError{Size: size}
+	}
+	buffer := make([]byte, size)
+	if _, err := io.ReadFull(reader, buffer); err != nil {
+		return errors.Wrap(err, "read message")
+	}
+	return errors.Wrap(proto.Unmarshal(buffer, message), "decode message")
+}
