--- /dev/null
+++ b/internal/caller/doc.go
@@ -0,0 +1,3 @@
+// Package caller speaks HTTP to callers: the completions interface of the field for
+// models, and plain services under their own path.
+package caller
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,7 +41,9 @@
 	VM core.VMID
 	// Sent is false if no byte of the request left this VM.
 	Sent bool
-	Err  error
+	// Incarnation is that of the peer to which the request was sent.
+	Incarnation core.Incarnation
+	Err         error
 }
 
 // Error returns the name of the VM and the cause.
@@ -124,12 +126,12 @@
 	})
 	defer stop()
 	if err := writeFrame(stream, request); err != nil {
-		return &UnreachableError{VM: vm, Sent: true, Err: cause(ctx, err)}
+		return &UnreachableError{VM: vm, Sent: true, Incarnation: link.incarnation, Err: cause(ctx, err)}
 	}
 	for {
 		var response wire.Response
 		if err := readFrame(stream, &response); err != nil {
-			return &UnreachableError{VM: vm, Sent: true, Err: cause(ctx, err)}
+			return &UnreachableError{VM: vm, Sent: true, Incarnation: link.incarnation, Err: cause(ctx, err)}
 		}
 		if failure := response.GetFailure(); failure != nil {
 			return &FailureError{VM: vm, Message: failure.Message}
@@ -180,9 +182,8 @@
 }
 
 func (client *Client) dial(vm core.VMID, address string, link *link) {
-	session, err := client.open(vm, address)
-	link.session, link.err = session, err
-	if err != nil {
+	link.session, link.incarnation, link.err = client.open(vm, address)
+	if link.err != nil {
 		link.close()
 		close(link.ready)
 		return
@@ -191,26 +192,26 @@
 	client.ping(vm, link)
 }
 
-func (client *Client) open(vm core.VMID, address string) (*yamux.Session, error) {
+func (client *Client) open(vm core.VMID, address string) (*yamux.Session, core.Incarnation, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(client.ctx, "tcp", address)
 	if err != nil {
-		return nil, errors.Wrap(err, "dial")
+		return nil, "", errors.Wrap(err, "dial")
 	}
-	name, err := dialHandshake(conn, client.self)
-	if err == nil && name != vm {
-		err = &HandshakeError{Reason: fmt.Sprintf("address %s belongs to VM %q", address, name)}
+	peer, err := dialHandshake(conn, client.self)
+	if err == nil && core.VMID(peer.Vm) != vm {
+		err = &HandshakeError{Reason: fmt.Sprintf("address %s belongs to VM %q", address, peer.Vm)}
 	}
 	if err != nil {
 		conn.Close()
-		return nil, errors.Wrap(err, "open link")
+		return nil, "", errors.Wrap(err, "open link")
 	}
 	session, err := yamux.Client(conn, sessionConfig())
 	if err != nil {
 		conn.Close()
-		return nil, errors.Wrap(err, "open session")
+		return nil, "", errors.Wrap(err, "open session")
 	}
-	return session, nil
+	return session, core.Incarnation(peer.Incarnation), nil
 }
 
 // ping checks the link until it is closed or does not answer in time.
@@ -235,13 +236,15 @@
 	}
 }
 
-// link is one connection to a peer. session and err are set before ready is closed.
+// link is one connection to a peer. session, incarnation and err are set before ready
+// is closed.
 type link struct {
-	ready   chan struct{}
-	closed  chan struct{}
-	once    sync.Once
-	session *yamux.Session
-	err     error
+	ready       chan struct{}
+	closed      chan struct{}
+	once        sync.Once
+	session     *yamux.Session
+	incarnation core.Incarnation
+	err         error
 }
 
 func (link *link) isReady() bool {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -45,29 +45,29 @@
 // dialHandshake proves the secret to the accepting side and checks its proof. The
 // accepting side proves first, so that a dialler learns nothing from a VM that does
 // not hold the secret.
-func dialHandshake(conn net.Conn, self Identity) (core.VMID, error) {
+func dialHandshake(conn net.Conn, self Identity) (*wire.Hello, error) {
 	if err := conn.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
-		return "", errors.Wrap(err, "set handshake deadline")
+		return nil, errors.Wrap(err, "set handshake deadline")
 	}
 	first := hello(self)
 	if err := writeFrame(conn, first); err != nil {
-		return "", errors.Wrap(err, "send hello")
+		return nil, errors.Wrap(err, "send hello")
 	}
 	var second wire.Hello
 	if err := readFrame(conn, &second); err != nil {
-		return "", errors.Wrap(err, "receive hello")
+		return nil, errors.Wrap(err, "receive hello")
 	}
 	if err := checkHello(&second); err != nil {
-		return "", err
+		return nil, err
 	}
 	if !hmac.Equal(second.Proof, proof(self.Secret, "accept", first, &second)) {
-		return "", &HandshakeError{Reason: fmt.Sprintf("VM %q does not hold the shared secret", second.Vm)}
+		return nil, &HandshakeError{Reason: fmt.Sprintf("VM %q does not hold the shared secret", second.Vm)}
 	}
 	third := &wire.Hello{Vm: string(self.VM), Protocol: protocolVersion, Proof: proof(self.Secret, "dial", first, &second)}
 	if err := writeFrame(conn, third); err != nil {
-		return "", errors.Wrap(err, "send proof")
+		return nil, errors.Wrap(err, "send proof")
 	}
-	return core.VMID(second.Vm), errors.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+	return &second, errors.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
 }
 
 func acceptHandshake(conn net.Conn, self Identity) (core.VMID, error) {
