--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -48,7 +48,10 @@
 	if _, err := stream.writer.Write(data); err != nil {
 		return errors.Wrap(err, "write to caller")
 	}
-	return errors.Wrap(http.NewResponseController(stream.writer).Flush(), "flush to caller")
+	if err := http.NewResponseController(stream.writer).Flush(); err != nil {
+		return errors.Wrap(err, "flush to caller")
+	}
+	return nil
 }
 
 func (stream *streamResponder) finish(end core.End) {
@@ -182,8 +185,10 @@
 
 // Data writes bytes as they came.
 func (raw *rawResponder) Data(data []byte) error {
-	_, err := raw.writer.Write(data)
-	return errors.Wrap(err, "write to caller")
+	if _, err := raw.writer.Write(data); err != nil {
+		return errors.Wrap(err, "write to caller")
+	}
+	return nil
 }
 
 func (raw *rawResponder) finish(end core.End) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -216,5 +216,8 @@
 		}
 	}
 	run.recorded.data(chunk.Data)
-	return errors.Wrap(run.responder.Data(chunk.Data), "pass data on")
+	if err := run.responder.Data(chunk.Data); err != nil {
+		return errors.Wrap(err, "pass data on")
+	}
+	return nil
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -36,8 +36,10 @@
 		return &FrameSizeError{Size: size}
 	}
 	binary.BigEndian.PutUint32(buffer, uint32(size))
-	_, err = writer.Write(buffer)
-	return errors.Wrap(err, "write message")
+	if _, err := writer.Write(buffer); err != nil {
+		return errors.Wrap(err, "write message")
+	}
+	return nil
 }
 
 func readFrame(reader io.Reader, message proto.Message) error {
@@ -53,5 +55,8 @@
 	if _, err := io.ReadFull(reader, buffer); err != nil {
 		return errors.Wrap(err, "read message")
 	}
-	return errors.Wrap(proto.Unmarshal(buffer, message), "decode message")
+	if err := proto.Unmarshal(buffer, message); err != nil {
+		return errors.Wrap(err, "decode message")
+	}
+	return nil
 }
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -67,7 +67,10 @@
 	if err := writeFrame(conn, third); err != nil {
 		return nil, errors.Wrap(err, "send proof")
 	}
-	return &second, errors.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return nil, errors.Wrap(err, "clear handshake deadline")
+	}
+	return &second, nil
 }
 
 func acceptHandshake(conn net.Conn, self Identity) (core.VMID, error) {
@@ -93,7 +96,10 @@
 	if !hmac.Equal(third.Proof, proof(self.Secret, "dial", &first, second)) {
 		return "", &HandshakeError{Reason: fmt.Sprintf("VM %q does not hold the shared secret", first.Vm)}
 	}
-	return core.VMID(first.Vm), errors.Wrap(conn.SetDeadline(time.Time{}), "clear handshake deadline")
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		return "", errors.Wrap(err, "clear handshake deadline")
+	}
+	return core.VMID(first.Vm), nil
 }
 
 func hello(self Identity) *wire.Hello {
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// answer is a handler that answers attempt queries and holds forwarded calls until
+// their context ends.
+type answer struct {
+	cancelled chan struct{}
+}
+
+func (answer answer) Handle(ctx context.Context, _ core.VMID, request *wire.Request, send func(*wire.Response) error) {
+	if request.GetForward() != nil {
+		<-ctx.Done()
+		close(answer.cancelled)
+		return
+	}
+	_ = send(&wire.Response{Body: &wire.Response_AttemptState{AttemptState: &wire.AttemptState{Barred: true}}})
+}
+
+func quiet() *log.Logger {
+	return log.New(io.Discard)
+}
+
+func identity(vm core.VMID, secret string) Identity {
+	return Identity{VM: vm, Zone: "a", Incarnation: "run-1", Secret: []byte(secret)}
+}
+
+// serve starts a VM and returns a client for it.
+func serve(t *testing.T, handler Handler, serverSecret, clientSecret string) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(Serve(listener, identity("vm-1", serverSecret), handler, quiet()))
+	addresses := map[core.VMID]string{"vm-1": listener.Addr().String(), "vm-9": listener.Addr().String()}
+	client, closeClient := NewClient(identity("vm-2", clientSecret), addresses, quiet())
+	t.Cleanup(closeClient)
+	return client
+}
+
+func query() *wire.Request {
+	return &wire.Request{Body: &wire.Request_AttemptQuery{AttemptQuery: &wire.AttemptQuery{Attempt: "1"}}}
+}
+
+// TestHandshake guards against a VM that is accepted without the shared secret or
+// under the name of another VM.
+func TestHandshake(t *testing.T) {
+	cases := []struct {
+		name   string
+		vm     core.VMID
+		secret string
+		ok     bool
+	}{
+		{"same secret", "vm-1", "secret", true},
+		{"other secret", "vm-1", "guess", false},
+		{"empty secret", "vm-1", "", false},
+		{"other name", "vm-9", "secret", false},
+		{"no address", "vm-3", "secret", false},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			client := serve(t, answer{}, "secret", test.secret)
+			_, err := client.Call(t.Context(), test.vm, query())
+			is.Equal(err == nil, test.ok)
+			var unreachable *UnreachableError
+			if errors.As(err, &unreachable) {
+				is.True(!unreachable.Sent) // a refused link carried no request
+			}
+		})
+	}
+}
+
+// TestCancel guards against work that goes on at the owner after its entry VM gave the
+// call up.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	handler := answer{cancelled: make(chan struct{})}
+	client := serve(t, handler, "secret", "secret")
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(ctx, "vm-1", &wire.Request{Body: &wire.Request_Forward{Forward: &wire.Forward{}}})
+	var unreachable *UnreachableError
+	is.True(errors.As(err, &unreachable))
+	is.True(unreachable.Sent) // the outcome of the call is not known
+	is.Equal(unreachable.Incarnation, core.Incarnation("run-1"))
+	select {
+	case <-handler.cancelled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the handler was not cancelled")
+	}
+}
+
+// TestForwardRoundTrip guards against a field of a call that is lost between VMs.
+func TestForwardRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		call := core.Call{
+			Attempt:        core.AttemptID(rapid.String().Draw(t, "attempt")),
+			Request:        core.RequestID(rapid.String().Draw(t, "request")),
+			Customer:       core.CustomerID(rapid.String().Draw(t, "customer")),
+			EntryVM:        core.VMID(rapid.String().Draw(t, "vm")),
+			Group:          core.GroupID{Zone: "a", Kind: core.EngineGroup, Name: rapid.String().Draw(t, "name")},
+			Pin:            core.Pin{AdapterVersion: core.AdapterVersion{Adapter: "x", Version: "1"}, Model: "m", Config: core.ConfigNumber(rapid.Uint64().Draw(t, "config"))},
+			Priority:       core.Priority(rapid.Int32().Draw(t, "priority")),
+			Deadline:       time.Duration(rapid.Int32().Draw(t, "deadline")) * time.Millisecond,
+			Fingerprint:    "f",
+			Method:         "POST",
+			Path:           rapid.String().Draw(t, "path"),
+			Headers:        []core.Header{{Name: "A", Value: rapid.String().Draw(t, "header")}},
+			Body:           rapid.SliceOfN(rapid.Byte(), 1, 64).Draw(t, "body"),
+			ResumeOffset:   core.Tokens(rapid.Int64().Draw(t, "offset")),
+			IdempotencyKey: "key",
+			Repeatable:     rapid.Bool().Draw(t, "repeatable"),
+			Suspect:        rapid.Bool().Draw(t, "suspect"),
+			Prefixes:       rapid.SliceOfN(rapid.Uint64(), 1, 4).Draw(t, "prefixes"),
+			CrossedZone:    rapid.Bool().Draw(t, "crossed"),
+		}
+		var buffer bytes.Buffer
+		if err := writeFrame(&buffer, ForwardMessage(call)); err != nil {
+			t.Fatal(err)
+		}
+		var message wire.Forward
+		if err := readFrame(&buffer, &message); err != nil {
+			t.Fatal(err)
+		}
+		if !proto.Equal(ForwardMessage(CallOf(&message)), ForwardMessage(call)) {
+			t.Fatalf("got %+v, want %+v", CallOf(&message), call)
+		}
+	})
+}
+
+// FuzzReadFrame guards against a message from outside that stops the VM or makes it
+// hold more memory than MaxFrame.
+func FuzzReadFrame(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 0})
+	f.Add([]byte{255, 255, 255, 255})
+	f.Fuzz(func(t *testing.T, input []byte) {
+		var request wire.Request
+		err := readFrame(bytes.NewReader(input), &request)
+		if err == nil && proto.Size(&request) > MaxFrame {
+			t.Fatal("message over the limit was accepted")
+		}
+	})
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -137,5 +137,8 @@
 // Fail answers a request that could not be handled.
 func Fail(send func(*wire.Response) error, err error) error {
 	failure := &wire.Failure{Message: err.Error()}
-	return errors.Wrap(send(&wire.Response{Body: &wire.Response_Failure{Failure: failure}}), "send failure")
+	if err := send(&wire.Response{Body: &wire.Response_Failure{Failure: failure}}); err != nil {
+		return errors.Wrap(err, "send failure")
+	}
+	return nil
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -49,14 +49,19 @@
 // holds it. It returns a *FencedError if the engine has seen a later owner.
 func (client *Client) Load(ctx context.Context, address string, adapter core.AdapterVersion, token core.FencingToken) (core.Incarnation, error) {
 	answer, err := client.order(ctx, address, "load", adapter, token)
-	return answer.Incarnation, errors.Wrap(err, "load adapter")
+	if err != nil {
+		return "", errors.Wrap(err, "load adapter")
+	}
+	return answer.Incarnation, nil
 }
 
 // Evict orders an engine to drop an adapter version. It returns a *FencedError if
 // the engine has seen a later owner.
 func (client *Client) Evict(ctx context.Context, address string, adapter core.AdapterVersion, token core.FencingToken) error {
-	_, err := client.order(ctx, address, "evict", adapter, token)
-	return errors.Wrap(err, "evict adapter")
+	if _, err := client.order(ctx, address, "evict", adapter, token); err != nil {
+		return errors.Wrap(err, "evict adapter")
+	}
+	return nil
 }
 
 func (client *Client) order(ctx context.Context, address, action string, adapter core.AdapterVersion, token core.FencingToken) (orderAnswer, error) {
