Add the stand-ins for engines, services, store, network and callers

Cause: the request path and the fault cases need outside systems that count what they were asked to do. Ruled out: cancelling an attempt when its reader leaves; engines that do not watch connections are the harder case for evictions.

--- /dev/null
+++ b/standin/cmd/standin/load.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/standin/journal"
+	"github.com/dandelionring/dandelionring/standin/load"
+)
+
+// errViolations makes the program exit with an error after a bad verdict.
+var errViolations = errors.New("invariants were violated")
+
+func loadCommand() command {
+	out, rate, tokens, name := "records.jsonl", 50.0, 20, "billing"
+	versions := []string{}
+	settings := load.Settings{
+		Duration: 5 * time.Second, Seed: 1, Adapters: 40, AdapterPrefix: "adapter-", Skew: 1.2,
+		StreamShare: 0.5, CallShare: 0.2, PinShare: 0.5, Resends: 3, Timeout: 20 * time.Second,
+	}
+	sub := flaggy.NewSubcommand("load")
+	sub.Description = "Send requests as the callers do and record every answer."
+	sub.StringSlice(&settings.Targets, "", "target", "caller address of a VM; repeat for several")
+	sub.String(&settings.Key, "", "key", "bearer key of the plan")
+	sub.String(&out, "", "out", "file of the records")
+	sub.Float64(&rate, "", "rate", "requests per second")
+	sub.Duration(&settings.Duration, "", "duration", "time for which requests are sent")
+	sub.Int(&settings.Requests, "", "requests", "number of requests; 0 for no bound")
+	sub.UInt64(&settings.Seed, "", "seed", "seed of the requests")
+	sub.Int(&settings.Adapters, "", "adapters", "number of adapters")
+	sub.String(&settings.AdapterPrefix, "", "adapter-prefix", "name of an adapter before its number")
+	sub.StringSlice(&versions, "", "adapter-version", "granted version, the newest last; repeat for several")
+	sub.Float64(&settings.Skew, "", "skew", "exponent of the adapters' popularity, above 1")
+	sub.Int(&tokens, "", "tokens", "tokens of an answer")
+	sub.Float64(&settings.StreamShare, "", "stream-share", "share of streamed requests")
+	sub.Float64(&settings.CallShare, "", "call-share", "share of service calls")
+	sub.Float64(&settings.PinShare, "", "pin-share", "share of model requests that name a version")
+	sub.String(&name, "", "service", "service of the calls")
+	sub.String(&settings.Content, "", "content", "prompt of every request")
+	sub.Int(&settings.Resends, "", "resends", "times that a call with a lost answer is sent again")
+	sub.Bool(&settings.ResendAll, "", "resend-all", "send every request again that was not answered")
+	sub.Duration(&settings.Timeout, "", "timeout", "time limit of one send")
+	return command{sub: sub, run: func(ctx context.Context) error {
+		settings.Rate, settings.Tokens, settings.Service = core.RequestsPerSecond(rate), core.Tokens(tokens), core.ServiceID(name)
+		for _, version := range versions {
+			settings.Versions = append(settings.Versions, core.Version(version))
+		}
+		if len(versions) == 0 {
+			settings.Versions = []core.Version{"1"}
+		}
+		recorder, closeRecords, err := load.NewRecorder(out)
+		if err != nil {
+			return err
+		}
+		current, err := load.New(settings, recorder)
+		if err == nil {
+			err = current.Run(ctx)
+		}
+		return errors.Join(err, closeRecords())
+	}}
+}
+
+func checkCommand() command {
+	var records, journals []string
+	check := load.Check{MaxViolationsShown: 5}
+	sub := flaggy.NewSubcommand("check")
+	sub.Description = "Judge the records of the callers with the journals of the stand-ins."
+	sub.StringSlice(&records, "", "records", "file of records; repeat for several")
+	sub.StringSlice(&journals, "", "journal", "file of a stand-in; repeat for several")
+	sub.Int64(&check.Event, "", "event", "time of the fault in Unix microseconds, for the time to recover")
+	sub.Int(&check.MaxViolationsShown, "", "show", "number of violations shown in full")
+	return command{sub: sub, run: func(context.Context) error {
+		var allRecords []load.Record
+		for _, path := range records {
+			read, err := load.ReadRecords(path)
+			if err != nil {
+				return err
+			}
+			allRecords = append(allRecords, read...)
+		}
+		var entries []journal.Entry
+		for _, path := range journals {
+			read, err := journal.Read(path)
+			if err != nil {
+				return err
+			}
+			entries = append(entries, read...)
+		}
+		ok, err := check.Print(os.Stdout, check.Judge(allRecords, entries))
+		if err == nil && !ok {
+			return errViolations
+		}
+		return err
+	}}
+}
--- /dev/null
+++ b/standin/cmd/standin/main.go
@@ -0,0 +1,42 @@
+// Program standin runs the stand-ins for everything outside an entry VM: a model
+// engine, a plain service, the weight store, a TCP relay and the callers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// command is one subcommand. run returns when the context ends.
+type command struct {
+	sub *flaggy.Subcommand
+	run func(ctx context.Context) error
+}
+
+func main() {
+	commands := []command{engineCommand(), serviceCommand(), storeCommand(), relayCommand(), loadCommand(), checkCommand()}
+	flaggy.SetName("standin")
+	flaggy.SetDescription("Stand-ins for engines, services, the weight store, the network and the callers.")
+	for _, command := range commands {
+		flaggy.AttachSubcommand(command.sub, 1)
+	}
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	for _, command := range commands {
+		if !command.sub.Used {
+			continue
+		}
+		if err := command.run(ctx); err != nil {
+			fmt.Fprintln(os.Stderr, "standin:", err)
+			os.Exit(1)
+		}
+		return
+	}
+	flaggy.ShowHelpAndExit("name a subcommand")
+}
--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,63 @@
+package engine
+
+import "container/list"
+
+// prefixCache holds prefix blocks in limited memory and drops the least recently
+// used one. The engine's lock guards it.
+type prefixCache struct {
+	blocks  int
+	order   *list.List
+	entries map[uint64]*list.Element
+	// pending holds the events that were not published yet.
+	pending  []CacheEvent
+	sequence uint64
+}
+
+// CacheEvent states that a prefix was added to or dropped from the cache.
+type CacheEvent struct {
+	Sequence uint64
+	Prefix   uint64
+	Added    bool
+}
+
+func newPrefixCache(blocks int) *prefixCache {
+	return &prefixCache{blocks: blocks, order: list.New(), entries: make(map[uint64]*list.Element)}
+}
+
+// use returns the number of blocks that were not cached, and caches them.
+func (cache *prefixCache) use(prefixes []uint64) (missing int) {
+	for _, prefix := range prefixes {
+		if element, ok := cache.entries[prefix]; ok {
+			cache.order.MoveToFront(element)
+			continue
+		}
+		missing++
+		cache.add(prefix)
+	}
+	return missing
+}
+
+func (cache *prefixCache) add(prefix uint64) {
+	if cache.blocks == 0 {
+		return
+	}
+	if cache.order.Len() >= cache.blocks {
+		oldest := cache.order.Remove(cache.order.Back()).(uint64)
+		delete(cache.entries, oldest)
+		cache.publish(oldest, false)
+	}
+	cache.entries[prefix] = cache.order.PushFront(prefix)
+	cache.publish(prefix, true)
+}
+
+func (cache *prefixCache) publish(prefix uint64, added bool) {
+	cache.sequence++
+	cache.pending = append(cache.pending, CacheEvent{Sequence: cache.sequence, Prefix: prefix, Added: added})
+}
+
+// take returns the unpublished events and forgets them.
+func (cache *prefixCache) take() []CacheEvent {
+	events := cache.pending
+	cache.pending = nil
+	return events
+}
--- /dev/null
+++ b/standin/journal/journal.go
@@ -0,0 +1,113 @@
+// Package journal writes what a stand-in saw to a file of JSON lines, so that
+// the checks can judge runs of a process that no longer exists.
+package journal
+
+import (
+	"bufio"
+	"encoding/json"
+	"hash/fnv"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// Event tells what an entry states.
+type Event string
+
+// The events of a stand-in.
+const (
+	Run       Event = "run"
+	End       Event = "end"
+	Violation Event = "violation"
+	Start     Event = "start"
+)
+
+// Entry is one line of a journal.
+type Entry struct {
+	// At is in Unix microseconds.
+	At          int64
+	Upstream    core.UpstreamID
+	Incarnation core.Incarnation
+	Event       Event
+	// Key names the content that ran: ContentKey of a prompt, or an idempotency key.
+	Key     string         `json:",omitempty"`
+	Attempt core.AttemptID `json:",omitempty"`
+	Adapter core.AdapterID `json:",omitempty"`
+	Version core.Version   `json:",omitempty"`
+	Detail  string         `json:",omitempty"`
+}
+
+// ContentKey returns the key under which a run of the content is recorded.
+func ContentKey(content string) string {
+	sum := fnv.New64a()
+	sum.Write([]byte(content))
+	return strconv.FormatUint(sum.Sum64(), 16)
+}
+
+// Writer appends entries to a file. The zero value writes nothing.
+type Writer struct {
+	// mu guards file. No other lock is taken while it is held.
+	mu          sync.Mutex
+	file        *os.File
+	upstream    core.UpstreamID
+	incarnation core.Incarnation
+}
+
+// Open returns a writer that appends to the file, and the function that closes
+// it. An empty path gives a writer that writes nothing.
+func Open(path string, upstream core.UpstreamID, incarnation core.Incarnation) (*Writer, func() error, error) {
+	if path == "" {
+		return &Writer{}, func() error { return nil }, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "open journal")
+	}
+	return &Writer{file: file, upstream: upstream, incarnation: incarnation}, file.Close, nil
+}
+
+// Add appends the entry with the time and the names of the writer. Each entry is
+// one write, so that it survives the end of the process.
+func (writer *Writer) Add(entry Entry) {
+	if writer.file == nil {
+		return
+	}
+	entry.At = time.Now().UnixMicro()
+	entry.Upstream, entry.Incarnation = writer.upstream, writer.incarnation
+	line, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	writer.mu.Lock()
+	defer writer.mu.Unlock()
+	if _, err := writer.file.Write(append(line, '\n')); err != nil {
+		panic(err)
+	}
+}
+
+// Read returns the entries of the file. A torn last line is ignored.
+func Read(path string) ([]Entry, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open journal")
+	}
+	defer file.Close()
+	var entries []Entry
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		var entry Entry
+		if json.Unmarshal(lines.Bytes(), &entry) != nil {
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	if err := lines.Err(); err != nil {
+		return nil, errors.Wrap(err, "read journal")
+	}
+	return entries, nil
+}
