--- /dev/null
+++ b/internal/vm/listen.go
@@ -0,0 +1,107 @@
+package vm
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/settings"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// readHeaderTimeout bounds the time that a client may take to send its headers.
+const readHeaderTimeout = 10 * time.Second
+
+// Addresses are the addresses on which a VM listens, with the ports that it was given.
+type Addresses struct {
+	VM              core.VMID
+	CallerAddress   string
+	OperatorAddress string
+	UpstreamAddress string
+	PeerAddress     string
+}
+
+// listeners are the open listeners of a VM.
+type listeners struct {
+	caller, operator, upstream, peer net.Listener
+}
+
+// listen opens all listeners and returns a function that closes them.
+func listen(settings settings.Settings) (listeners, func(), error) {
+	var opened listeners
+	var all []net.Listener
+	closeAll := func() {
+		for _, listener := range all {
+			listener.Close()
+		}
+	}
+	for _, entry := range []struct {
+		name    string
+		address string
+		target  *net.Listener
+	}{
+		{"callers", settings.CallerAddress, &opened.caller},
+		{"operators", settings.OperatorAddress, &opened.operator},
+		{"upstreams", settings.UpstreamAddress, &opened.upstream},
+		{"peers", settings.PeerAddress, &opened.peer},
+	} {
+		listener, err := net.Listen("tcp", entry.address)
+		if err != nil {
+			closeAll()
+			return listeners{}, nil, errors.Wrap(err, "listen for "+entry.name)
+		}
+		all = append(all, listener)
+		*entry.target = listener
+	}
+	return opened, closeAll, nil
+}
+
+func (opened listeners) addresses(vm core.VMID) Addresses {
+	return Addresses{
+		VM:              vm,
+		CallerAddress:   opened.caller.Addr().String(),
+		OperatorAddress: opened.operator.Addr().String(),
+		UpstreamAddress: opened.upstream.Addr().String(),
+		PeerAddress:     opened.peer.Addr().String(),
+	}
+}
+
+// print writes the addresses as one JSON line, so that a script can use port 0.
+func (addresses Addresses) print(out io.Writer) error {
+	if err := json.NewEncoder(out).Encode(addresses); err != nil {
+		return errors.Wrap(err, "print addresses")
+	}
+	return nil
+}
+
+// serveHTTP answers on a listener until shutdown is called, which stops accepting and
+// waits for the requests in flight until its context ends.
+func serveHTTP(listener net.Listener, certificates *tls.Config, handler http.Handler) (shutdown func(context.Context) error) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, TLSConfig: certificates}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if certificates != nil {
+			_ = server.ServeTLS(listener, "", "")
+			return
+		}
+		_ = server.Serve(listener)
+	}()
+	return func(ctx context.Context) error {
+		err := server.Shutdown(ctx)
+		if err != nil {
+			server.Close()
+		}
+		<-done
+		if err != nil {
+			return errors.Wrap(err, "shut down")
+		}
+		return nil
+	}
+}
