Add the settings of a VM with their checks and examples

Cause: every part of a VM needs its addresses, limits and peers before it starts. Ruled out: decoding with encoding/json alone, because it reports one fault at a time and without the line of a wrong value.

--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,62 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+const examples = "../../examples"
+
+// TestExample guards against a key that is not documented, or documented with
+// another default than the one in use.
+func TestExample(t *testing.T) {
+	is := is.New(t)
+	loaded, err := Load(filepath.Join(examples, "settings.jsonc"))
+	is.NoErr(err)
+	want := Default()
+	want.DataFolder = filepath.Join(examples, want.DataFolder)
+	is.Equal(loaded, want)
+	text, err := os.ReadFile(filepath.Join(examples, "settings.jsonc"))
+	is.NoErr(err)
+	for field := range reflect.TypeFor[Settings]().Fields() {
+		is.True(strings.Contains(string(text), `"`+field.Name+`":`)) // every key is documented
+	}
+}
+
+// TestDeployments guards against example deployments that do not load or whose
+// VMs do not agree on their peers.
+func TestDeployments(t *testing.T) {
+	for folder, zones := range map[string]int{"stalls": 4, "batches": 3} {
+		is := is.New(t)
+		files, err := filepath.Glob(filepath.Join(examples, folder, "vm-*.jsonc"))
+		is.NoErr(err)
+		is.Equal(len(files), 7)
+		seen := make(map[string]bool)
+		for _, file := range files {
+			loaded, err := Load(file)
+			is.NoErr(err)
+			is.Equal(len(loaded.Members()), 7)
+			seen[string(loaded.Zone)] = true
+		}
+		is.Equal(len(seen), zones)
+	}
+}
+
+// TestFaults guards against settings that are taken although they cannot work,
+// and against faults without their file, line and key. Cases are read from
+// testdata/faults.
+func TestFaults(t *testing.T) {
+	datadriven.RunTest(t, "testdata/faults", func(t *testing.T, data *datadriven.TestData) string {
+		_, err := Parse("vm.jsonc", []byte(data.Input))
+		if err == nil {
+			return "ok\n"
+		}
+		return err.Error() + "\n"
+	})
+}
