--- /dev/null
+++ b/pkg/policy/attempt/script_test.go
@@ -0,0 +1,127 @@
+package attempt
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// TestScripts guards against a life that passes on a chunk of the wrong attempt,
+// repeats what may not be repeated, or misstates what ran.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		var life *Life
+		budget := &Budget{}
+		datadriven.RunTest(t, path, func(t *testing.T, line *datadriven.TestData) string {
+			if line.Cmd == "request" {
+				life = New(termsOf(t, line))
+				if life.Queue(); line.HasArg("claim") {
+					return describe(life, refusalText(life.Claim(claimOf(t, line))))
+				}
+				return describe(life, "")
+			}
+			return describe(life, step(t, life, budget, line))
+		})
+	})
+}
+
+func termsOf(t *testing.T, line *datadriven.TestData) Terms {
+	terms := Terms{
+		Repeatable: line.HasArg("repeatable"), Model: line.HasArg("model"), Buffered: line.HasArg("buffered"),
+		Deadline: epoch.Add(5 * time.Second),
+	}
+	if terms.Model {
+		terms.Pin = core.AdapterVersion{Adapter: "x", Version: "1"}
+	}
+	return terms
+}
+
+func claimOf(t *testing.T, line *datadriven.TestData) Claim {
+	var name string
+	line.ScanArgs(t, "claim", &name)
+	names := map[string]Claim{
+		"granted": ClaimGranted, "in_progress": ClaimInProgress, "done": ClaimDone,
+		"unknown": ClaimUnknown, "conflict": ClaimConflict, "unavailable": ClaimUnavailable,
+	}
+	return names[name]
+}
+
+func step(t *testing.T, life *Life, budget *Budget, line *datadriven.TestData) string {
+	var id string
+	line.MaybeScanArgs(t, "id", &id)
+	switch line.Cmd {
+	case "send":
+		offset, ok := life.Send(core.AttemptID(id))
+		return fmt.Sprintf("offset=%d ok=%t", offset, ok)
+	case "chunk":
+		chunk, count := chunkOf(t, line, id)
+		return life.Accept(chunk, count).String()
+	case "end":
+		return decide(life, budget, t, line, id)
+	case "abandon":
+		return refusalText(life.Abandon())
+	}
+	t.Fatalf("unknown command %q", line.Cmd)
+	return ""
+}
+
+func chunkOf(t *testing.T, line *datadriven.TestData, id string) (core.Chunk, core.Tokens) {
+	offset, count := 0, 1
+	line.MaybeScanArgs(t, "offset", &offset)
+	line.MaybeScanArgs(t, "count", &count)
+	chunk := core.Chunk{Attempt: core.AttemptID(id), Offset: core.Tokens(offset)}
+	if line.HasArg("head") {
+		var ran string
+		line.ScanArgs(t, "head", &ran)
+		av, err := core.ParseAdapterVersion(ran)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chunk.Head = &core.Head{Ran: av}
+	}
+	return chunk, core.Tokens(count)
+}
+
+func decide(life *Life, budget *Budget, t *testing.T, line *datadriven.TestData, id string) string {
+	var outcome, code, upstream string
+	var tokens, seconds int
+	groups := 2
+	line.MaybeScanArgs(t, "outcome", &outcome)
+	line.MaybeScanArgs(t, "code", &code)
+	line.MaybeScanArgs(t, "upstream", &upstream)
+	line.MaybeScanArgs(t, "tokens", &tokens)
+	line.MaybeScanArgs(t, "at", &seconds)
+	line.MaybeScanArgs(t, "groups", &groups)
+	parsed, _ := core.ParseOutcome(outcome)
+	decision := life.End(core.End{
+		Attempt: core.AttemptID(id), Whole: line.HasArg("whole"), Outcome: parsed,
+		Code: core.RefusalCode(code), Tokens: core.Tokens(tokens), Upstream: core.UpstreamID(upstream),
+	}, Situation{Now: epoch.Add(time.Duration(seconds) * time.Second), Groups: groups, Budget: budget})
+	text := decision.Action.String()
+	if decision.Action != Refuse && decision.Action != Finish && decision.Action != Ignore {
+		text += fmt.Sprintf(" after=%s next_group=%t", decision.After, decision.NextGroup)
+	}
+	return strings.TrimSpace(text + " " + refusalText(decision.Refusal))
+}
+
+func refusalText(refusal *core.Refusal) string {
+	if refusal == nil {
+		return ""
+	}
+	return string(refusal.Code) + "/" + refusal.Outcome.String()
+}
+
+func describe(life *Life, result string) string {
+	text := fmt.Sprintf("%s outcome=%s tokens=%d\n", life.State(), life.Outcome(), life.Tokens())
+	if result != "" {
+		text = result + "\n" + text
+	}
+	return text
+}
