Run the state machine in entry

Cause: entry tried each group once, never resumed a stream, and lost the outcome of a call whose caller left. Change: attempts are repeated or resumed as the life of the request decides, each with its own audit records; a suspect is marked, a convicted request refused, crash reports are replicated before the caller gets its error; a claimed call goes on without its caller and its outcome is recorded. Ruled out: the fingerprint as content of a claim; it leaves identifiers out, so one key could have stood for two calls.

--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -96,6 +96,12 @@
 	return nil
 }
 
+// Restart drops what was collected, for an answer that begins anew.
+func (whole *wholeResponder) Restart() {
+	whole.text.Reset()
+	whole.reason, whole.tokens = "", 0
+}
+
 // Data collects the text of whole events.
 func (whole *wholeResponder) Data(data []byte) error {
 	for line := range bytes.SplitSeq(data, []byte("\n")) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,16 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/admission"
+	"github.com/dandelionring/dandelionring/pkg/policy/attempt"
+	"github.com/dandelionring/dandelionring/pkg/policy/quarantine"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
@@ -50,6 +52,11 @@
 	Crashes(fingerprint core.Fingerprint) int
 }
 
+// crashes takes reports of crashed upstreams into the replicated state.
+type crashes interface {
+	Report(ctx context.Context, report ledger.CrashReport) error
+}
+
 // recorder writes the audit log.
 type recorder interface {
 	// Start returns after the record is on a disk.
@@ -69,22 +76,31 @@
 	Dispatchers     dispatchers
 	Claims          claims
 	Suspects        suspects
-	Recorder        recorder
-	Logger          *log.Logger
+	// Crashes may be nil; crashes are then known to this VM only.
+	Crashes crashes
+	// Conviction is the time for which suspicion and conviction last; zero means
+	// quarantine.DefaultTerm.
+	Conviction time.Duration
+	Recorder   recorder
+	Logger     *log.Logger
 }
 
 // Entry serves the requests that this VM receives from callers.
 type Entry struct {
 	Parts
 
-	// mutex guards limiter and is held for no other lock.
-	mutex   sync.Mutex
-	limiter admission.Limiter
+	// mutex guards the fields below and is held for no other lock.
+	mutex      sync.Mutex
+	limiter    admission.Limiter
+	budget     attempt.Budget
+	quarantine quarantine.Table
 }
 
 // New returns an entry.
 func New(parts Parts) *Entry {
-	return &Entry{Parts: parts}
+	entry := &Entry{Parts: parts}
+	entry.quarantine.Term = parts.Conviction
+	return entry
 }
 
 // Serve runs a request and passes its answer to the responder. The returned end says
@@ -113,7 +129,7 @@
 		hash:      book.Hash(),
 		answer:    Answer{Request: core.RequestID(ulid.Make().String()), Pin: admitted.Pin, Config: book.Number(), ConfigAge: age},
 	}
-	running.fingerprint = request.fingerprint(plan.Customer)
+	running.fingerprint = request.fingerprint(plan.Customer, admitted.Pin.Adapter)
 	return running.serve(ctx)
 }
 
@@ -127,6 +143,7 @@
 func (entry *Entry) enter(plan core.Plan) *core.Refusal {
 	entry.mutex.Lock()
 	defer entry.mutex.Unlock()
+	entry.budget.Request()
 	return entry.limiter.Enter(plan, time.Now())
 }
 
@@ -136,5 +153,24 @@
 	entry.limiter.Leave(customer)
 }
 
-// errMismatch stops an answer of another adapter version before its first byte.
-var errMismatch = errors.New("the upstream ran another adapter version")
+// decide takes the end of an attempt under the lock of the retry budget.
+func (entry *Entry) decide(life *attempt.Life, end core.End, groups int) attempt.Decision {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return life.End(end, attempt.Situation{Now: time.Now(), Groups: groups, Jitter: rand.Float64(), Budget: &entry.budget})
+}
+
+// standing returns the stricter of this VM's and the replicated view of a request.
+func (entry *Entry) standing(fingerprint core.Fingerprint) quarantine.Standing {
+	replicated := quarantine.StandingOf(entry.Suspects.Crashes(fingerprint))
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	return max(replicated, entry.quarantine.Standing(fingerprint, time.Now()))
+}
+
+// suspect keeps a crash in this VM's view.
+func (entry *Entry) suspect(incarnation core.Incarnation, fingerprint core.Fingerprint) {
+	entry.mutex.Lock()
+	defer entry.mutex.Unlock()
+	entry.quarantine.Report(incarnation, []core.Fingerprint{fingerprint}, time.Now())
+}
--- a/internal/entry/recorded.go
+++ b/internal/entry/recorded.go
@@ -36,6 +36,11 @@
 	}
 }
 
+// restart drops what was collected.
+func (recorded *recordedAnswer) restart() {
+	*recorded = recordedAnswer{}
+}
+
 func (recorded *recordedAnswer) answer() *ledger.Answer {
 	recorded.data(nil)
 	return &ledger.Answer{
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/quarantine"
 )
 
 // Request is one request of a caller. Either Wanted or Service is set.
@@ -41,13 +42,21 @@
 	return request.Path + "?" + request.Query
 }
 
-// fingerprint hashes what the customer asked for, without identifiers that change
-// when the request is sent again.
-func (request Request) fingerprint(customer core.CustomerID) core.Fingerprint {
+// fingerprint recognises the request when it is sent again.
+func (request Request) fingerprint(customer core.CustomerID, adapter core.AdapterID) core.Fingerprint {
+	return quarantine.Fingerprint(quarantine.Content{
+		Customer: customer, Service: request.Service, Adapter: adapter,
+		Method: request.Method, Path: request.path(), Body: request.Body,
+	})
+}
+
+// content hashes a call byte by byte, so that an idempotency key stands for exactly
+// one call.
+func (request Request) content() core.Fingerprint {
 	hash := sha256.New()
-	fmt.Fprintf(hash, "%q %q %q %q %q\n", customer, request.Service, request.Method, request.path(), request.Wanted.Adapter)
+	fmt.Fprintf(hash, "%q %q %q\n", request.Service, request.Method, request.path())
 	hash.Write(request.Body)
-	return core.Fingerprint(hex.EncodeToString(hash.Sum(nil)[:16]))
+	return core.Fingerprint(hex.EncodeToString(hash.Sum(nil)))
 }
 
 // Answer is what the caller learns beside the bytes of the answer.
@@ -64,6 +73,12 @@
 	Replayed bool
 }
 
+// restarter is a Responder that shows nothing to the caller before the answer is
+// whole, and can drop what it collected.
+type restarter interface {
+	Restart()
+}
+
 // Responder passes an answer to the caller. Head is called once, before the first
 // Data.
 type Responder interface {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,18 +2,18 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/admission"
-	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+	"github.com/dandelionring/dandelionring/pkg/policy/attempt"
+	"github.com/dandelionring/dandelionring/pkg/policy/quarantine"
 )
 
-// run is one request in progress.
+// run is one request in progress. Its life decides; run carries the decisions out.
 type run struct {
 	entry       *Entry
 	request     Request
@@ -23,160 +23,173 @@
 	hash        string
 	fingerprint core.Fingerprint
 	answer      Answer
-	// firstByte is the time until the first byte was passed on; zero before that.
-	firstByte time.Duration
-	recorded  recordedAnswer
+	life        *attempt.Life
+	recorded    recordedAnswer
+	pace        pace
+	// headed is set once the caller got the head.
+	headed bool
+	// verdict is set if the current attempt gave a chunk that must not be passed on.
+	verdict attempt.Verdict
+	// left is set once the caller could not be written to.
+	left bool
+	// reports are the crash reports on their way to the replicated state.
+	reports sync.WaitGroup
 }
 
 func (run *run) serve(ctx context.Context) core.End {
-	if run.entry.Suspects.Crashes(run.fingerprint) >= ledger.CrashesToConvict {
-		return core.EndRefused("", core.Refuse(core.CodeConvicted, "this request crashed upstreams and is refused for now"))
+	if refusal := run.convicted(); refusal != nil {
+		return core.EndRefused("", refusal)
 	}
-	run.answer.Attempt = core.AttemptID(ulid.Make().String())
+	run.life = attempt.New(run.terms())
 	if run.admitted.Repeatable {
-		return run.attempt(ctx)
+		run.life.Queue()
+		return run.attempts(ctx)
 	}
-	if run.request.IdempotencyKey == "" {
-		return core.EndRefused("", core.Refuse(core.CodeKeyRequired, "a call that may not be repeated needs an Idempotency-Key"))
-	}
-	result, err := run.entry.Claims.Claim(ctx, run.claim())
-	if err != nil {
-		run.release()
-		return core.EndRefused("", core.Refuse(core.CodeNoQuorum, "the idempotency key could not be claimed: "+err.Error()))
-	}
-	if result.State != ledger.ClaimGranted {
-		return run.replay(result)
-	}
-	end := run.attempt(ctx)
-	run.record(end)
-	return end
+	return run.claimed(ctx)
 }
 
-func (run *run) claim() ledger.Claim {
-	return ledger.Claim{
-		Customer:          run.admitted.Plan.Customer,
-		Key:               run.request.IdempotencyKey,
-		Content:           run.fingerprint,
-		Attempt:           run.answer.Attempt,
-		Holder:            run.entry.VM,
-		HolderIncarnation: run.entry.Incarnation,
-		HoldMillis:        run.entry.ClaimHold.Milliseconds(),
+func (run *run) terms() attempt.Terms {
+	deadline := run.admitted.Deadline
+	if deadline == 0 {
+		deadline = run.entry.DefaultDeadline
+	}
+	_, buffered := run.responder.(restarter)
+	return attempt.Terms{
+		Repeatable: run.admitted.Repeatable,
+		Model:      run.model(),
+		Pin:        run.admitted.Pin.AdapterVersion,
+		Buffered:   buffered,
+		Deadline:   run.started.Add(deadline),
 	}
 }
 
-// replay answers a call whose key was claimed before.
-func (run *run) replay(result ledger.ClaimResult) core.End {
-	switch result.State {
-	case ledger.ClaimDone:
-		return run.replayDone(result.Answer)
-	case ledger.ClaimInProgress:
-		return core.EndRefused("", &core.Refusal{Code: core.CodeInProgress, Outcome: core.Unknown, Message: "a call with this Idempotency-Key is in progress"})
-	case ledger.ClaimConflict:
-		return core.EndRefused("", core.Refuse(core.CodeKeyReused, "the Idempotency-Key was used for another call"))
-	default:
-		return core.EndRefused("", &core.Refusal{Code: core.CodeOutcomeUnknown, Outcome: core.Unknown, Message: "it is not known whether the call with this Idempotency-Key ran"})
-	}
+func (run *run) model() bool {
+	return run.request.Service == ""
 }
 
-func (run *run) replayDone(recorded *ledger.Answer) core.End {
-	if recorded == nil || recorded.Truncated {
-		return core.EndRefused("", &core.Refusal{Code: core.CodeOutcomeUnknown, Outcome: core.Ran, Message: "the call ran; its answer was too large to be recorded"})
+// convicted returns a refusal if the request crashed too many upstreams. What its own
+// attempts did is part of the refusal.
+func (run *run) convicted() *core.Refusal {
+	if run.entry.standing(run.fingerprint) != quarantine.Convicted {
+		return nil
 	}
-	run.answer.Replayed = true
-	run.answer.Head = core.Head{Status: recorded.Status, Headers: recorded.Headers}
-	err := run.responder.Head(run.answer)
-	if err == nil {
-		err = run.responder.Data(recorded.Body)
+	refusal := core.Refuse(core.CodeConvicted, "this request crashed upstreams and is refused for now")
+	if run.life != nil {
+		refusal.Outcome = run.life.Outcome()
 	}
-	return core.End{Attempt: run.answer.Attempt, Whole: err == nil, Outcome: core.Ran, Code: core.CodeStreamBroken}
+	return refusal
 }
 
-// recordTimeout bounds the write of an outcome, which goes on after the caller left.
-const recordTimeout = 10 * time.Second
-
-func (run *run) record(end core.End) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
-	defer cancel()
-	record := ledger.Record{
-		Customer: run.admitted.Plan.Customer,
-		Key:      run.request.IdempotencyKey,
-		Attempt:  run.answer.Attempt,
-		Outcome:  end.Outcome,
-	}
-	if end.Whole {
-		record.Answer = run.recorded.answer()
-	}
-	if err := run.entry.Claims.Record(ctx, record); err != nil {
-		run.entry.Logger.Error("Outcome not recorded.", "request", run.answer.Request, "error", err)
+// attempts runs the request until it is answered or refused.
+func (run *run) attempts(ctx context.Context) core.End {
+	var target int
+	for {
+		groups := run.groups()
+		end := run.attempt(ctx, groups, target)
+		run.report(end)
+		if run.abandoned(ctx) && !end.Whole {
+			return core.EndRefused(run.life.Attempt(), run.life.Abandon())
+		}
+		decision := run.entry.decide(run.life, end, len(groups))
+		if refusal := run.convicted(); refusal != nil && decision.Action != attempt.Finish {
+			decision = attempt.Decision{Action: attempt.Refuse, Refusal: refusal}
+		}
+		switch decision.Action {
+		case attempt.Finish:
+			return end
+		case attempt.Refuse:
+			// The other VMs know of the crash before the caller can send again.
+			run.reports.Wait()
+			return core.EndRefused(run.answer.Attempt, decision.Refusal)
+		case attempt.Restart:
+			run.restart()
+		}
+		if decision.NextGroup {
+			target++
+		}
+		if !wait(ctx, decision.After) {
+			return core.EndRefused(run.answer.Attempt, run.life.Abandon())
+		}
 	}
 }
 
-// release frees a key whose claim may have been committed although its answer was
-// lost. The call was not run.
-func (run *run) release() {
-	go run.record(core.End{Outcome: core.NotRun})
+// abandoned reports whether nobody waits for the answer any more. A call that may not
+// be repeated goes on without its caller, so that its outcome can be recorded.
+func (run *run) abandoned(ctx context.Context) bool {
+	return ctx.Err() != nil || (run.left && run.admitted.Repeatable)
 }
 
-func (run *run) attempt(ctx context.Context) core.End {
-	if err := run.entry.Recorder.Start(ctx, run.auditRecord(audit.EventStart)); err != nil {
-		return core.EndRefused(run.answer.Attempt, core.Refuse(core.CodeAuditUnavailable, "the audit record could not be written: "+err.Error()))
+func (run *run) restart() {
+	run.recorded.restart()
+	if responder, ok := run.responder.(restarter); ok {
+		responder.Restart()
+	}
+}
+
+// wait returns false if the context ended first.
+func wait(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
-	end := run.forward(ctx)
-	record := run.auditRecord(audit.EventEnd)
-	record.Outcome, record.Code, record.Whole, record.Tokens = end.Outcome.String(), end.Code, end.Whole, end.Tokens
-	record.Upstream = end.Upstream
-	run.entry.Recorder.End(record)
-	return end
 }
 
-func (run *run) auditRecord(event audit.Event) audit.Record {
-	record := audit.Record{
-		At:         time.Now().UnixMilli(),
-		Event:      event,
-		Request:    run.answer.Request,
-		Attempt:    run.answer.Attempt,
-		Customer:   run.admitted.Plan.Customer,
-		Plan:       run.admitted.Plan.Plan,
-		Config:     run.answer.Config,
-		ConfigHash: run.hash,
-		Adapter:    run.admitted.Pin.Adapter,
-		Version:    run.admitted.Pin.Version,
-		Service:    run.request.Service,
-		Call:       run.request.Method + " " + run.request.Path,
-		Zone:       run.entry.Zone,
-		Isolated:   run.answer.ConfigAge > 0,
-	}
-	if event == audit.EventEnd {
-		record.FirstByteMicros = run.firstByte.Microseconds()
-		record.StallMicros = run.answer.Head.Stalled.Microseconds()
-		record.TotalMicros = time.Since(run.started).Microseconds()
-	}
-	return record
+// target is one upstream group and its owner.
+type target struct {
+	group core.GroupID
+	owner core.VMID
 }
 
-// forward tries the groups that serve the request, the own zone's first, until one
-// runs it.
-func (run *run) forward(ctx context.Context) core.End {
+// groups returns the groups that serve the request and have an owner, the own zone's
+// first.
+func (run *run) groups() []target {
 	kind, name := run.request.group(run.admitted.Pin)
-	end := core.EndRefused(run.answer.Attempt, core.Refuse(core.CodeNoUpstream, "no upstream is known for "+kind.String()+" "+name))
+	var targets []target
 	for _, group := range run.entry.Directory.Groups(kind, name) {
-		owner, ok := run.entry.Directory.Owner(group)
-		if !ok {
-			continue
-		}
-		end = run.entry.Dispatchers.Dispatcher(owner).Serve(ctx, run.call(group), run.pass)
-		if end.Whole || end.Outcome != core.NotRun {
-			return end
+		if owner, ok := run.entry.Directory.Owner(group); ok {
+			targets = append(targets, target{group, owner})
 		}
 	}
-	return end
+	return targets
 }
 
-func (run *run) call(group core.GroupID) core.Call {
-	deadline := run.admitted.Deadline
-	if deadline == 0 {
-		deadline = run.entry.DefaultDeadline
+// attempt sends the request to one group and returns how it ended.
+func (run *run) attempt(ctx context.Context, targets []target, number int) core.End {
+	id := core.AttemptID(ulid.Make().String())
+	offset, ok := run.life.Send(id)
+	if !ok {
+		panic(attemptNotAllowed)
+	}
+	run.answer.Attempt, run.verdict = id, 0
+	if len(targets) == 0 {
+		kind, name := run.request.group(run.admitted.Pin)
+		return core.EndRefused(id, core.Refuse(core.CodeNoUpstream, "no upstream is known for "+kind.String()+" "+name))
+	}
+	if refusal := run.auditStart(ctx); refusal != nil {
+		return core.EndRefused(id, refusal)
 	}
+	chosen := targets[number%len(targets)]
+	end := run.entry.Dispatchers.Dispatcher(chosen.owner).Serve(ctx, run.call(chosen.group, offset), run.pass)
+	if run.verdict != 0 {
+		end = attempt.MismatchEnd(id, run.verdict, end.Upstream)
+	}
+	run.auditEnd(end)
+	return end
+}
+
+// attemptNotAllowed is the panic of an attempt in a state that does not allow one.
+const attemptNotAllowed = panicText("entry: attempt in a state that does not allow one")
+
+type panicText string
+
+func (run *run) call(group core.GroupID, offset core.Tokens) core.Call {
 	return core.Call{
 		Attempt:        run.answer.Attempt,
 		Request:        run.answer.Request,
@@ -185,39 +198,17 @@
 		Group:          group,
 		Pin:            run.admitted.Pin,
 		Priority:       run.admitted.Priority,
-		Deadline:       deadline - time.Since(run.started),
+		Deadline:       run.life.Remaining(time.Now()),
 		Fingerprint:    run.fingerprint,
 		Method:         run.request.Method,
 		Path:           run.request.path(),
 		Headers:        run.request.Headers,
 		Body:           run.request.Body,
+		ResumeOffset:   offset,
 		IdempotencyKey: run.request.IdempotencyKey,
 		Repeatable:     run.admitted.Repeatable,
-		Suspect:        run.entry.Suspects.Crashes(run.fingerprint) > 0,
+		Suspect:        run.entry.standing(run.fingerprint) != quarantine.Clear,
 		Prefixes:       run.request.Prefixes,
 		CrossedZone:    group.Zone != run.entry.Zone,
 	}
 }
-
-// pass hands a chunk to the caller, after it has compared what ran with the pin.
-func (run *run) pass(chunk core.Chunk) error {
-	if chunk.Attempt != run.answer.Attempt {
-		return nil
-	}
-	if chunk.Head != nil {
-		if run.request.Service == "" && chunk.Head.Ran != run.admitted.Pin.AdapterVersion {
-			return errMismatch
-		}
-		run.answer.Head = *chunk.Head
-		run.firstByte = time.Since(run.started)
-		run.recorded.head(*chunk.Head)
-		if err := run.responder.Head(run.answer); err != nil {
-			return errors.Wrap(err, "pass head on")
-		}
-	}
-	run.recorded.data(chunk.Data)
-	if err := run.responder.Data(chunk.Data); err != nil {
-		return errors.Wrap(err, "pass data on")
-	}
-	return nil
-}
