--- a/internal/settings/certificate.go
+++ b/internal/settings/certificate.go
@@ -72,7 +72,10 @@
 	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
 		Roots: authorities, Intermediates: intermediates, KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
 	})
-	return errors.Wrap(err, "verify peer certificate")
+	if err != nil {
+		return errors.Wrap(err, "verify peer certificate")
+	}
+	return nil
 }
 
 // certificate holds a certificate and reads it again when its files change.
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -49,4 +49,7 @@
 	LongestGapMicros int64 `json:",omitempty"`
 	// Isolated is set while the VM had no contact to a majority.
 	Isolated bool `json:",omitempty"`
+	// Buffered is set if no disk could be reached, so that the record was in the
+	// memory of up to two VMs before it was on a disk.
+	Buffered bool `json:",omitempty"`
 }
