--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,30 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestLogs guards against a secret in a line, a part without its prefix, and a
+// level that reaches only some parts.
+func TestLogs(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logs, err := New(&out, "info", "hunter2hunter2", "")
+	is.NoErr(err)
+	entry, peer := logs.Part("entry"), logs.Part("peer")
+	entry.Debug("Not shown.")
+	entry.Info("Started.", "token", "hunter2hunter2")
+	is.NoErr(logs.SetLevel("debug"))
+	peer.Debug("Shown.")
+	logs.Part("late").Debug("Shown as well.")
+	is.True(logs.SetLevel("loud") != nil)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 3)
+	for i, want := range []string{"INFO entry: Started. token=[secret]", "DEBU peer: Shown.", "DEBU late: Shown as well."} {
+		is.True(strings.HasSuffix(lines[i], want))
+	}
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 
+	"github.com/dandelionring/dandelionring/internal/strict"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -27,7 +28,7 @@
 
 // check adds a fault for every value that is out of range and for every
 // combination that cannot work.
-func (settings *Settings) check(reader *reader) {
+func (settings *Settings) check(reader *strict.Reader) {
 	settings.checkNames(reader)
 	settings.checkAddresses(reader)
 	settings.checkPeers(reader)
@@ -36,17 +37,17 @@
 	settings.checkTLS(reader)
 }
 
-func (settings *Settings) checkNames(reader *reader) {
+func (settings *Settings) checkNames(reader *strict.Reader) {
 	if settings.VM == "" {
-		reader.fault("VM", "is empty")
+		reader.Fault("VM", "is empty")
 	}
 	if settings.Zone == "" {
-		reader.fault("Zone", "is empty")
+		reader.Fault("Zone", "is empty")
 	}
 	switch settings.LogLevel {
 	case "debug", "info", "warn", "error":
 	default:
-		reader.fault("LogLevel", fmt.Sprintf("%q is none of debug, info, warn, error", settings.LogLevel))
+		reader.Fault("LogLevel", fmt.Sprintf("%q is none of debug, info, warn, error", settings.LogLevel))
 	}
 }
 
@@ -60,104 +61,104 @@
 	}
 }
 
-func (settings *Settings) checkAddresses(reader *reader) {
+func (settings *Settings) checkAddresses(reader *strict.Reader) {
 	seen := make(map[netip.AddrPort]string)
 	for _, listener := range settings.listeners() {
 		address, err := netip.ParseAddrPort(listener.address)
 		if err != nil {
-			reader.fault(listener.key, fmt.Sprintf("%q is not an IP number and a port", listener.address))
+			reader.Fault(listener.key, fmt.Sprintf("%q is not an IP number and a port", listener.address))
 			continue
 		}
 		if first, ok := seen[address]; ok && address.Port() != 0 {
-			reader.fault(listener.key, fmt.Sprintf("%s is also %s", address, first))
+			reader.Fault(listener.key, fmt.Sprintf("%s is also %s", address, first))
 		}
 		seen[address] = listener.key
 	}
 }
 
-func (settings *Settings) checkPeers(reader *reader) {
+func (settings *Settings) checkPeers(reader *strict.Reader) {
 	names, addresses := make(map[core.VMID]int), make(map[string]int)
 	disks := settings.DataFolder != ""
 	for i, peer := range settings.Peers {
 		key := fmt.Sprintf("Peers[%d]", i)
 		disks = disks || peer.Disk
 		if peer.VM == "" || peer.Zone == "" {
-			reader.fault(key, "needs VM and Zone")
+			reader.Fault(key, "needs VM and Zone")
 		}
 		if first, ok := names[peer.VM]; ok {
-			reader.fault(key+".VM", fmt.Sprintf("%q already stands at Peers[%d]", peer.VM, first))
+			reader.Fault(key+".VM", fmt.Sprintf("%q already stands at Peers[%d]", peer.VM, first))
 		}
 		names[peer.VM] = i
 		settings.checkPeerAddress(reader, key+".Address", peer)
 		if first, ok := addresses[peer.Address]; ok {
-			reader.fault(key+".Address", fmt.Sprintf("%s already stands at Peers[%d]", peer.Address, first))
+			reader.Fault(key+".Address", fmt.Sprintf("%s already stands at Peers[%d]", peer.Address, first))
 		}
 		addresses[peer.Address] = i
 		settings.checkSelf(reader, key, peer)
 	}
 	if !disks {
-		reader.fault("DataFolder", "no VM of the deployment has a disk, so nothing can be kept")
+		reader.Fault("DataFolder", "no VM of the deployment has a disk, so nothing can be kept")
 	}
 }
 
-func (settings *Settings) checkPeerAddress(reader *reader, key string, peer Peer) {
+func (settings *Settings) checkPeerAddress(reader *strict.Reader, key string, peer Peer) {
 	address, err := netip.ParseAddrPort(peer.Address)
 	switch {
 	case err != nil:
-		reader.fault(key, fmt.Sprintf("%q is not an IP number and a port", peer.Address))
+		reader.Fault(key, fmt.Sprintf("%q is not an IP number and a port", peer.Address))
 	case peer.VM != settings.VM && (address.Port() == 0 || address.Addr().IsUnspecified()):
-		reader.fault(key, fmt.Sprintf("%s cannot be dialled", address))
+		reader.Fault(key, fmt.Sprintf("%s cannot be dialled", address))
 	}
 }
 
 // checkSelf compares the VM's own entry with the other keys.
-func (settings *Settings) checkSelf(reader *reader, key string, peer Peer) {
+func (settings *Settings) checkSelf(reader *strict.Reader, key string, peer Peer) {
 	if peer.VM != settings.VM {
 		return
 	}
 	if peer.Zone != settings.Zone {
-		reader.fault(key+".Zone", fmt.Sprintf("%q differs from Zone %q of this VM", peer.Zone, settings.Zone))
+		reader.Fault(key+".Zone", fmt.Sprintf("%q differs from Zone %q of this VM", peer.Zone, settings.Zone))
 	}
 	if peer.Disk != (settings.DataFolder != "") {
-		reader.fault(key+".Disk", fmt.Sprintf("%t does not fit DataFolder %q of this VM", peer.Disk, settings.DataFolder))
+		reader.Fault(key+".Disk", fmt.Sprintf("%t does not fit DataFolder %q of this VM", peer.Disk, settings.DataFolder))
 	}
 }
 
-func (settings *Settings) checkSecrets(reader *reader) {
+func (settings *Settings) checkSecrets(reader *strict.Reader) {
 	if len(settings.Others()) > 0 && settings.SharedSecret == "" {
-		reader.fault("SharedSecret", "is needed as soon as Peers names another VM")
+		reader.Fault("SharedSecret", "is needed as soon as Peers names another VM")
 	}
 	if settings.SharedSecret != "" && len(settings.SharedSecret) < minSecretLength {
-		reader.fault("SharedSecret", fmt.Sprintf("is shorter than %d characters", minSecretLength))
+		reader.Fault("SharedSecret", fmt.Sprintf("is shorter than %d characters", minSecretLength))
 	}
 	for i, hash := range settings.OperatorTokenHashes {
 		key := fmt.Sprintf("OperatorTokenHashes[%d]", i)
 		if len(hash) != hashLength || strings.Trim(string(hash), "0123456789abcdef") != "" {
-			reader.fault(key, "is not a lower-case hexadecimal SHA-256; make one with: dandelionring hash")
+			reader.Fault(key, "is not a lower-case hexadecimal SHA-256; make one with: dandelionring hash")
 		}
 		if hash == HashToken(DevelopmentToken) {
 			settings.refuseDevelopment(reader, key, settings.OperatorAddress)
 		}
 	}
 	if settings.UpstreamToken == "" {
-		reader.fault("UpstreamToken", "is empty")
+		reader.Fault("UpstreamToken", "is empty")
 	}
 	if settings.UpstreamToken == DevelopmentToken {
 		settings.refuseDevelopment(reader, "UpstreamToken", settings.UpstreamAddress)
 	}
 }
 
-func (settings *Settings) refuseDevelopment(reader *reader, key, listener string) {
+func (settings *Settings) refuseDevelopment(reader *strict.Reader, key, listener string) {
 	address, err := netip.ParseAddrPort(listener)
 	if err == nil && !address.Addr().IsLoopback() {
-		reader.fault(key, fmt.Sprintf("the development token is refused on %s, which is not a loopback address", address))
+		reader.Fault(key, fmt.Sprintf("the development token is refused on %s, which is not a loopback address", address))
 	}
 }
 
-func (settings *Settings) checkNumbers(reader *reader) {
+func (settings *Settings) checkNumbers(reader *strict.Reader) {
 	refuse := func(bad bool, key, reason string) {
 		if bad {
-			reader.fault(key, reason)
+			reader.Fault(key, reason)
 		}
 	}
 	refuse(settings.StallWeight > 1, "StallWeight", "is not in 0..1")
@@ -174,29 +175,29 @@
 	refuse(settings.AuditRotateBytes < minRotate, "AuditRotateBytes", fmt.Sprintf("is below %d", minRotate))
 }
 
-func (settings *Settings) checkTLS(reader *reader) {
+func (settings *Settings) checkTLS(reader *strict.Reader) {
 	checkSection(reader, "CallerTLS", settings.CallerTLS)
 	checkSection(reader, "OperatorTLS", settings.OperatorTLS)
 	checkSection(reader, "PeerTLS", settings.PeerTLS)
 }
 
-func checkSection(reader *reader, key string, section TLS) {
+func checkSection(reader *strict.Reader, key string, section TLS) {
 	if (section.CertificateFile == "") != (section.KeyFile == "") {
-		reader.fault(key, "needs both CertificateFile and KeyFile")
+		reader.Fault(key, "needs both CertificateFile and KeyFile")
 	}
 	if section.AuthorityFile != "" && (key != "PeerTLS" || !section.Enabled()) {
-		reader.fault(key+".AuthorityFile", "is used only by PeerTLS with a certificate")
+		reader.Fault(key+".AuthorityFile", "is used only by PeerTLS with a certificate")
 	}
 	checkFile(reader, key+".CertificateFile", section.CertificateFile)
 	checkFile(reader, key+".KeyFile", section.KeyFile)
 	checkFile(reader, key+".AuthorityFile", section.AuthorityFile)
 }
 
-func checkFile(reader *reader, key, path string) {
+func checkFile(reader *strict.Reader, key, path string) {
 	if path == "" {
 		return
 	}
 	if _, err := os.Stat(path); err != nil {
-		reader.fault(key, err.Error())
+		reader.Fault(key, err.Error())
 	}
 }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/strict"
 )
 
 //go:embed default.jsonc
@@ -26,7 +28,7 @@
 
 // Load reads and checks the settings in the file at path. Keys that the file
 // leaves out have their defaults. Relative paths in the file are relative to the
-// file's folder. An empty path gives the defaults. The error is a Faults if the
+// file's folder. An empty path gives the defaults. The error is a strict.Faults if the
 // file can be read but is not valid.
 func Load(path string) (Settings, error) {
 	if path == "" {
@@ -40,21 +42,21 @@
 }
 
 // Parse checks text as the content of a settings file called name and returns the
-// settings, or a Faults with every fault of the text.
+// settings, or a strict.Faults with every fault of the text.
 func Parse(name string, text []byte) (Settings, error) {
 	var settings Settings
 	if name != defaultsName {
 		settings = Default()
 	}
-	reader := newReader(name, text)
-	reader.read(&settings)
+	reader := strict.NewReader(name, text)
+	reader.Read(&settings)
 	if name != defaultsName {
 		settings.resolve(filepath.Dir(name))
 	}
 	settings.readSecret(reader)
 	settings.check(reader)
-	if len(reader.faults) > 0 {
-		return Settings{}, reader.sorted()
+	if faults := reader.Faults(); len(faults) > 0 {
+		return Settings{}, faults
 	}
 	return settings, nil
 }
@@ -73,17 +75,17 @@
 }
 
 // readSecret replaces SharedSecret by the content of SharedSecretFile.
-func (settings *Settings) readSecret(reader *reader) {
+func (settings *Settings) readSecret(reader *strict.Reader) {
 	if settings.SharedSecretFile == "" {
 		return
 	}
 	if settings.SharedSecret != "" {
-		reader.fault("SharedSecretFile", "SharedSecret is set as well; use one of the two")
+		reader.Fault("SharedSecretFile", "SharedSecret is set as well; use one of the two")
 		return
 	}
 	text, err := os.ReadFile(settings.SharedSecretFile)
 	if err != nil {
-		reader.fault("SharedSecretFile", err.Error())
+		reader.Fault("SharedSecretFile", err.Error())
 		return
 	}
 	settings.SharedSecret = strings.TrimSpace(string(text))
--- a/internal/settings/fault.go
+++ b/internal/strict/fault.go
@@ -1,11 +1,11 @@
-package settings
+package strict
 
 import (
 	"fmt"
 	"strings"
 )
 
-// Fault is one mistake in a settings file.
+// Fault is one mistake in a file.
 type Fault struct {
 	File string
 	// Line starts at 1; it is zero if the key does not occur in the file.
@@ -26,7 +26,7 @@
 	return place + ": " + fault.Key + ": " + fault.Reason
 }
 
-// Faults are all mistakes of a settings file, in the order of its lines.
+// Faults are all mistakes of a file, in the order of its lines.
 type Faults []Fault
 
 // Error returns one fault a line.
--- a/internal/settings/reader.go
+++ b/internal/strict/reader.go
@@ -1,4 +1,4 @@
-package settings
+package strict
 
 import (
 	"bytes"
@@ -12,44 +12,62 @@
 	"github.com/tailscale/hujson"
 )
 
-// reader fills settings from a file and collects the faults with their lines.
-type reader struct {
+// Reader fills a struct from a text and collects the faults with their lines. Use
+// NewReader; the zero value is not usable.
+type Reader struct {
 	file   string
 	text   []byte
 	faults Faults
-	// lines holds the line of every key that occurs in the file.
+	// starts holds the offset of the first byte of every line.
+	starts []int
+	// lines holds the line of every key that occurs in the text.
 	lines map[string]int
 }
 
-func newReader(file string, text []byte) *reader {
-	return &reader{file: file, text: text, lines: make(map[string]int)}
+// NewReader returns a reader of the text of a file.
+func NewReader(file string, text []byte) *Reader {
+	reader := &Reader{file: file, text: text, starts: []int{0}, lines: make(map[string]int)}
+	for at, char := range text {
+		if char == '\n' {
+			reader.starts = append(reader.starts, at+1)
+		}
+	}
+	return reader
 }
 
-// fault adds a fault of a key, such as "Peers[1].Address".
-func (reader *reader) fault(key, reason string) {
+// Fault adds a fault of a key, such as "Peers[1].Address".
+func (reader *Reader) Fault(key, reason string) {
 	reader.faults = append(reader.faults, Fault{reader.file, reader.lines[key], key, reason})
 }
 
-func (reader *reader) sorted() Faults {
+// Faults returns every fault so far in the order of the lines.
+func (reader *Reader) Faults() Faults {
 	slices.SortStableFunc(reader.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 	return reader.faults
 }
 
-func (reader *reader) read(settings *Settings) {
+// Read fills the struct that target points to. Keys that the text leaves out keep
+// their values. A text that is not JSON is one fault without a key, whose reason
+// begins with the line and the column.
+func (reader *Reader) Read(target any) {
 	value, err := hujson.Parse(reader.text)
 	if err != nil {
-		reader.fault("", strings.TrimPrefix(err.Error(), "hujson: "))
+		reader.Fault("", strings.TrimPrefix(err.Error(), "hujson: "))
 		return
 	}
-	reader.value("", value, reflect.ValueOf(settings).Elem())
+	reader.value("", value, reflect.ValueOf(target).Elem())
 }
 
-func (reader *reader) line(offset int) int {
-	return 1 + bytes.Count(reader.text[:offset], []byte("\n"))
+func (reader *Reader) line(offset int) int {
+	line, found := slices.BinarySearch(reader.starts, offset)
+	if found {
+		line++
+	}
+	return line
 }
 
 // value stores one JSON value in target, which decides what is allowed.
-func (reader *reader) value(key string, value hujson.Value, target reflect.Value) {
+func (reader *Reader) value(key string, value hujson.Value, target reflect.Value) {
 	switch target.Kind() {
 	case reflect.Struct:
 		reader.object(key, value, target)
@@ -60,10 +78,10 @@
 	}
 }
 
-func (reader *reader) object(key string, value hujson.Value, target reflect.Value) {
+func (reader *Reader) object(key string, value hujson.Value, target reflect.Value) {
 	object, ok := value.Value.(*hujson.Object)
 	if !ok {
-		reader.fault(key, "is not an object")
+		reader.Fault(key, "is not an object")
 		return
 	}
 	for _, member := range object.Members {
@@ -77,7 +95,7 @@
 		reader.lines[path] = reader.line(member.Name.StartOffset)
 		field, ok := target.Type().FieldByName(name)
 		if !ok {
-			reader.fault(path, unknown(name, target.Type()))
+			reader.Fault(path, unknown(name, target.Type()))
 			continue
 		}
 		reader.value(path, member.Value, target.FieldByIndex(field.Index))
@@ -91,10 +109,10 @@
 	return ""
 }
 
-func (reader *reader) array(key string, value hujson.Value, target reflect.Value) {
+func (reader *Reader) array(key string, value hujson.Value, target reflect.Value) {
 	array, ok := value.Value.(*hujson.Array)
 	if !ok {
-		reader.fault(key, "is not a list")
+		reader.Fault(key, "is not a list")
 		return
 	}
 	result := reflect.MakeSlice(target.Type(), len(array.Elements), len(array.Elements))
@@ -106,14 +124,14 @@
 	target.Set(result)
 }
 
-func (reader *reader) literal(key string, value hujson.Value, target reflect.Value) {
+func (reader *Reader) literal(key string, value hujson.Value, target reflect.Value) {
 	literal, ok := value.Value.(hujson.Literal)
 	if !ok || literal.Kind() == 'n' || json.Unmarshal(literal, target.Addr().Interface()) != nil {
-		reader.fault(key, fmt.Sprintf("%s is not %s", bytes.TrimSpace(value.Pack()), wanted(key, target.Kind())))
+		reader.Fault(key, fmt.Sprintf("%s is not %s", bytes.TrimSpace(value.Pack()), wanted(key, target.Kind())))
 		return
 	}
 	if target.CanInt() && target.Int() < 0 || target.CanFloat() && target.Float() < 0 {
-		reader.fault(key, fmt.Sprintf("%s is negative", literal))
+		reader.Fault(key, fmt.Sprintf("%s is negative", literal))
 	}
 }
 
