Leave dead peers and upstreams quickly, and add the fault cases

Cause: in the crash-request case, calls kept going to an engine that was gone until its lease ended (91 of 1,000 requests refused as unknown), and a peer that was gone cost each call a dial of up to 1.5 s. Change: the owner skips ejected upstreams, a crash ejects at once, a group without a live upstream refuses as not run so that another zone serves; a failed dial answers for the next 250 ms; writes are bounded; the accepting side closes a link without pings. scripts/fault runs case files. Conclusion: suspects still run with others; the owner has to separate them.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -13,6 +13,7 @@
 // group is one upstream group. Its owner's lock guards it.
 type group struct {
 	members map[core.UpstreamID]*member
+	ejected func(address string) bool
 	// changed is closed and replaced when a waiting call may find a place.
 	changed chan struct{}
 }
@@ -36,8 +37,26 @@
 	used  time.Time
 }
 
-func newGroup() *group {
-	return &group{members: make(map[core.UpstreamID]*member), changed: make(chan struct{})}
+func newGroup(ejected func(address string) bool) *group {
+	return &group{members: make(map[core.UpstreamID]*member), ejected: ejected, changed: make(chan struct{})}
+}
+
+// alive reports whether any upstream takes new work, now or when a place is free.
+func (group *group) alive(now time.Time) bool {
+	for _, entry := range group.members {
+		if group.lives(entry, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (group *group) lives(entry *member, now time.Time) bool {
+	return !entry.leaving && now.Before(entry.until) && !group.ejected(entry.address)
+}
+
+func (group *group) takes(entry *member, now time.Time) bool {
+	return group.lives(entry, now) && (entry.batch == 0 || entry.running < entry.batch)
 }
 
 func (group *group) wake() {
@@ -66,7 +85,7 @@
 func (group *group) choose(adapter core.AdapterVersion, now time.Time) (chosen *member, load bool, evict core.AdapterVersion) {
 	var best *member
 	for _, entry := range group.members {
-		if !entry.takes(now) || !entry.holds(adapter) {
+		if !group.takes(entry, now) || !entry.holds(adapter) {
 			continue
 		}
 		if best == nil || entry.running < best.running {
@@ -88,7 +107,7 @@
 	var evict core.AdapterVersion
 	for _, entry := range group.members {
 		victim, ok := entry.victim()
-		if !entry.takes(now) || !ok {
+		if !group.takes(entry, now) || !ok {
 			continue
 		}
 		if best == nil || entry.running < best.running {
@@ -129,10 +148,6 @@
 	group.wake()
 }
 
-func (entry *member) takes(now time.Time) bool {
-	return !entry.leaving && now.Before(entry.until) && (entry.batch == 0 || entry.running < entry.batch)
-}
-
 func (entry *member) holds(adapter core.AdapterVersion) bool {
 	held, ok := entry.adapters[adapter]
 	return adapter.IsZero() || (ok && held.ready)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -33,6 +33,8 @@
 type Upstreams interface {
 	engine
 	service
+	// Ejected reports whether an upstream failed and gets no new work for now.
+	Ejected(address string) bool
 }
 
 // Owner dispatches the calls of the groups that this VM owns.
@@ -63,7 +65,7 @@
 func (owner *Owner) group(id core.GroupID) *group {
 	entry, ok := owner.groups[id]
 	if !ok {
-		entry = newGroup()
+		entry = newGroup(owner.upstreams.Ejected)
 		owner.groups[id] = entry
 	}
 	return entry
@@ -143,9 +145,11 @@
 		owner.mutex.Lock()
 		group := owner.group(call.Group)
 		chosen, load, evict := group.choose(call.Pin.AdapterVersion, time.Now())
-		changed := group.changed
+		changed, empty := group.changed, !group.alive(time.Now())
 		owner.mutex.Unlock()
 		switch {
+		case empty:
+			return nil, 0, core.Refuse(core.CodeNoUpstream, "no upstream of group "+call.Group.String()+" is alive")
 		case chosen != nil && load:
 			began := time.Now()
 			owner.load(ctx, call, chosen, evict)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -21,6 +21,12 @@
 	// pingTimeout is the silence after which a link is closed and dialled anew.
 	pingTimeout = 1500 * time.Millisecond
 	dialTimeout = 1500 * time.Millisecond
+	// writeTimeout bounds the write of one message. A reader that takes nothing for
+	// so long has filled its window and holds up the sender.
+	writeTimeout = 5 * time.Second
+	// redialInterval is the time for which a failed dial answers for the next calls,
+	// so that they go elsewhere at once and do not wait for a peer that is gone.
+	redialInterval = 250 * time.Millisecond
 )
 
 // sessionConfig switches yamux's own keep-alive off, since the ping of this package
@@ -125,7 +131,7 @@
 		stream.Close()
 	})
 	defer stop()
-	if err := writeFrame(stream, request); err != nil {
+	if err := writeBounded(stream, request); err != nil {
 		return &UnreachableError{VM: vm, Sent: true, Incarnation: link.incarnation, Err: cause(ctx, err)}
 	}
 	for {
@@ -159,7 +165,8 @@
 	return err
 }
 
-// link returns the open link to a VM. One goroutine dials; the others wait for it.
+// link returns the open link to a VM. One goroutine dials; the others wait for it,
+// unless the last dial failed: then they get its error while a new one runs.
 func (client *Client) link(ctx context.Context, vm core.VMID) (*link, error) {
 	address, ok := client.addresses[vm]
 	if !ok {
@@ -167,12 +174,19 @@
 	}
 	client.mutex.Lock()
 	current := client.links[vm]
-	if current == nil || current.isClosed() {
+	previous := current
+	if current == nil || current.isClosed() && current.mayRedial(time.Now()) {
 		current = &link{ready: make(chan struct{}), closed: make(chan struct{})}
+		if previous != nil {
+			current.lastError = previous.failure()
+		}
 		client.links[vm] = current
 		client.running.Go(func() { client.dial(vm, address, current) })
 	}
 	client.mutex.Unlock()
+	if current.lastError != nil && !current.isReady() {
+		return nil, current.lastError
+	}
 	select {
 	case <-current.ready:
 		return current, current.err
@@ -184,6 +198,7 @@
 func (client *Client) dial(vm core.VMID, address string, link *link) {
 	link.session, link.incarnation, link.err = client.open(vm, address)
 	if link.err != nil {
+		link.failedAt = time.Now()
 		link.close()
 		close(link.ready)
 		return
@@ -236,9 +251,11 @@
 	}
 }
 
-// link is one connection to a peer. session, incarnation and err are set before ready
-// is closed.
+// link is one connection to a peer. session, incarnation, err and failedAt are set
+// before ready is closed; lastError, the error of the dial before, does not change.
 type link struct {
+	lastError   error
+	failedAt    time.Time
 	ready       chan struct{}
 	closed      chan struct{}
 	once        sync.Once
@@ -256,6 +273,20 @@
 	}
 }
 
+// failure returns the error of the dial, or nil if the link was open or is dialled.
+func (link *link) failure() error {
+	if !link.isReady() {
+		return nil
+	}
+	return link.err
+}
+
+// mayRedial reports whether a closed link may be dialled anew. The first dial after
+// an open link is never held back: it decides whether the peer is reachable.
+func (link *link) mayRedial(now time.Time) bool {
+	return link.failure() == nil || now.Sub(link.failedAt) >= redialInterval
+}
+
 func (link *link) isClosed() bool {
 	select {
 	case <-link.closed:
--- a/internal/peer/dispatcher.go
+++ b/internal/peer/dispatcher.go
@@ -21,7 +21,8 @@
 }
 
 // Serve forwards a call and passes its answer to send. If the link is lost after the
-// call was sent, the outcome is unknown until the owner was asked on a fresh link.
+// call was sent, the outcome is unknown; for a call that may not be repeated, the owner
+// is asked on a fresh link whether it sent the call on.
 func (dispatcher *Dispatcher) Serve(ctx context.Context, call core.Call, send func(core.Chunk) error) core.End {
 	var end *core.End
 	var sendErr error
@@ -58,6 +59,9 @@
 		end.Outcome, end.Code = core.NotRun, core.CodeNoUpstream
 		return end
 	}
+	if call.Repeatable {
+		return end // it is sent again at once, whatever the owner did with it
+	}
 	if unreachable != nil && dispatcher.neverSent(ctx, call.Attempt, unreachable.Incarnation) {
 		end.Outcome, end.Code = core.NotRun, core.CodeNoUpstream
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -4,8 +4,10 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -42,6 +44,15 @@
 	return nil
 }
 
+// writeBounded writes a message that must not be held up by its reader for longer
+// than writeTimeout.
+func writeBounded(stream *yamux.Stream, message proto.Message) error {
+	if err := stream.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	return writeFrame(stream, message)
+}
+
 func readFrame(reader io.Reader, message proto.Message) error {
 	var header [frameHeader]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
@@ -34,6 +35,10 @@
 	}
 }
 
+// linkSilence is the time without a ping after which an accepted link is closed and
+// its work cancelled. Pings come every pingInterval, or after pingTimeout at worst.
+const linkSilence = pingInterval + pingTimeout + time.Second
+
 type server struct {
 	self    Identity
 	handler Handler
@@ -75,11 +80,15 @@
 		return
 	}
 	defer session.Close()
+	// A link on which no ping arrives is silent, and nobody hears its answers.
+	silence := time.AfterFunc(linkSilence, func() { session.Close() })
+	defer silence.Stop()
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		silence.Reset(linkSilence)
 		server.running.Go(func() { server.serveStream(from, stream) })
 	}
 }
@@ -91,7 +100,7 @@
 		server.logger.Debug("Request not read.", "peer", from, "error", err)
 		return
 	}
-	send := func(response *wire.Response) error { return writeFrame(stream, response) }
+	send := func(response *wire.Response) error { return writeBounded(stream, response) }
 	if ping := request.GetPing(); ping != nil {
 		_ = send(&wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{Sequence: ping.Sequence}}})
 		return
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -23,6 +23,9 @@
 	failuresToEject = 2
 	ejectionBase    = time.Second
 	ejectionMax     = 16 * time.Second
+	// crashEjection is the lease of announcements: after it, a process that is gone
+	// gets no new work anyway.
+	crashEjection = 3 * time.Second
 )
 
 // health keeps the failures of upstreams by their address. The zero value is ready
@@ -46,7 +49,7 @@
 
 // failed counts a failure. Each one beyond the limit doubles the time for which the
 // address is ejected.
-func (health *health) failed(address string, now time.Time) {
+func (health *health) failed(address string, crashed bool, now time.Time) {
 	health.mutex.Lock()
 	defer health.mutex.Unlock()
 	if health.entries == nil {
@@ -57,6 +60,9 @@
 		entry = &addressHealth{}
 		health.entries[address] = entry
 	}
+	if crashed {
+		entry.until = now.Add(crashEjection)
+	}
 	if now.Before(entry.until) {
 		return // calls sent before the ejection count once
 	}
@@ -86,7 +92,7 @@
 	case failure == nil || !failure.Lost:
 		client.health.succeeded(address)
 	case ctx.Err() == nil:
-		client.health.failed(address, time.Now())
+		client.health.failed(address, failure.Crashed, time.Now())
 		client.shared.CloseIdleConnections()
 	}
 }
@@ -123,5 +129,5 @@
 // that gave no answer in time.
 func closedByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -97,3 +97,122 @@
 post() {
 	curl -sS --max-time 5 -H 'Content-Type: application/json' -d "$2" "http://$1"
 }
+
+# The cluster: zone, disk and relay target of every VM, by name.
+declare -A zone_of=() disk_of=()
+vm_names=()
+secret=development-secret-of-a-test
+caller_key=key-of-plan-1
+
+# add_vm NAME ZONE disk|none declares a VM.
+add_vm() {
+	vm_names+=("$1")
+	zone_of[$1]=$2 disk_of[$1]=$3
+}
+
+# route FROM TO TARGET adds a route to the relay, or changes its target, and prints
+# the address at which FROM reaches TO.
+route() {
+	post "${addresses[relay]}/v1/routes" "{\"From\":\"$1\",\"To\":\"$2\",\"Target\":\"$3\",\"DelayMicros\":${4:-0}}" | field Address
+}
+
+# delay FROM TO prints the one-way delay between the zones of two VMs in
+# microseconds.
+delay() {
+	if [ "${zone_of[$1]}" = "${zone_of[$2]}" ]; then echo 0; else echo 1500; fi
+}
+
+# write_settings NAME writes the settings of a VM, whose peers are behind the relay.
+write_settings() {
+	local name=$1 other peers='' data=''
+	for other in "${vm_names[@]}"; do
+		[ "$other" = "$name" ] && continue
+		[ -z "$peers" ] || peers+=,
+		peers+="{\"VM\":\"$other\",\"Zone\":\"${zone_of[$other]}\",\"Address\":\"$(route "$name" "$other" '' "$(delay "$name" "$other")")\",\"Disk\":$([ "${disk_of[$other]}" = disk ] && echo true || echo false)}"
+	done
+	[ "${disk_of[$name]}" != disk ] || data="data-$name"
+	cat >"$run_dir/$name.json" <<-EOF
+		{"VM": "$name", "Zone": "${zone_of[$name]}", "DataFolder": "$data", "Peers": [$peers],
+		 "CallerAddress": "127.0.0.1:0", "OperatorAddress": "127.0.0.1:0",
+		 "UpstreamAddress": "127.0.0.1:0", "PeerAddress": "127.0.0.1:0",
+		 "SharedSecret": "$secret", "ReadyGraceSeconds": 1, "DefaultDeadlineMillis": 8000,
+		 "StoreLoadsPerSecond": ${store_rate:-7}, "StoreTransits": ${store_transits:-3}}
+	EOF
+}
+
+# start_vm NAME starts a VM and leads the relay to it.
+start_vm() {
+	local name=$1 other line
+	start "$name" .bin/dandelionring serve --settings "$run_dir/$name.json"
+	wait_for 15 grep -q '"CallerAddress"' "$run_dir/$name.out" || return 1
+	line=$(cat "$run_dir/$name.out")
+	addresses[$name]=$(field CallerAddress <<<"$line")
+	addresses[$name/operator]=$(field OperatorAddress <<<"$line")
+	addresses[$name/upstream]=$(field UpstreamAddress <<<"$line")
+	for other in "${vm_names[@]}"; do
+		[ "$other" = "$name" ] || route "$other" "$name" "$(field PeerAddress <<<"$line")" "$(delay "$other" "$name")" >/dev/null
+	done
+	for other in "${zone_of[$name]}-upstreams"; do
+		route "$other" "$name" "${addresses[$name/upstream]}" >/dev/null
+	done
+}
+
+# start_cluster starts the relay and every declared VM.
+start_cluster() {
+	local name
+	start_standin relay relay
+	for name in "${vm_names[@]}"; do write_settings "$name"; done
+	for name in "${vm_names[@]}"; do start_vm "$name"; done
+	for name in "${vm_names[@]}"; do wait_for 20 ready "$name"; done
+}
+
+# ready NAME succeeds if the VM takes requests.
+ready() {
+	curl -sf --max-time 1 "http://${addresses[$1]}/ready"
+}
+
+# start_upstream NAME engine|service ZONE ARGUMENTS... starts an upstream that
+# announces itself to the VMs of its zone. The VMs reach it through the relay.
+start_upstream() {
+	local name=$1 kind=$2 zone=$3 vm vms=() front
+	shift 3
+	for vm in "${vm_names[@]}"; do
+		[ "${zone_of[$vm]}" != "$zone" ] || vms+=(--vm "$(route "$zone-upstreams" "$vm" "${addresses[$vm/upstream]}")")
+	done
+	front=$(route "zone-$zone" "$name" '')
+	start_standin "$name" "$kind" --upstream "$name" --zone "$zone" --upstream-token development \
+		--advertise "$front" --journal "$run_dir/$name.journal" "${vms[@]}" "$@" || return 1
+	route "zone-$zone" "$name" "${addresses[$name]}" >/dev/null
+}
+
+# sha256 TEXT prints the hash of a bearer key.
+sha256() {
+	printf '%s' "$1" | sha256sum | cut -d' ' -f1
+}
+
+# plans_list and grants_list print lists for one plan with numbered adapters.
+plans_list() {
+	echo "[{\"Plan\":\"plan-1\",\"Customer\":\"customer-1\",\"KeyHashes\":[\"$(sha256 "$caller_key")\"]}]"
+}
+
+# grants_list ADAPTERS VERSIONS prints the grant of versions 1 to VERSIONS of each
+# adapter and of the service billing.
+grants_list() {
+	local versions adapters
+	versions=$(seq -s, -f '"%g"' "$2")
+	adapters=$(seq -s, -f "{\"Adapter\":\"adapter-%g\",\"Model\":\"base-model\",\"Versions\":[$versions]}" 0 $(($1 - 1)))
+	echo "[{\"Plan\":\"plan-1\",\"Priority\":1,\"Adapters\":[$adapters],\"Services\":[{\"Service\":\"billing\",\"Repeatable\":[\"GET /status\"]}]}]"
+}
+
+# put_list VM plans|grants NUMBER LIST replaces a list and prints the answer.
+put_list() {
+	local name=Plans
+	[ "$2" = plans ] || name=Grants
+	curl -sS --max-time 10 -X PUT -H 'Authorization: Bearer development' \
+		-d "{\"Replaces\":$3,\"$name\":$4}" "http://${addresses[$1/operator]}/admin/v1/$2"
+}
+
+# list_number VM prints the number of the configuration in force at a VM.
+list_number() {
+	curl -sS --max-time 5 -H 'Authorization: Bearer development' "http://${addresses[$1/operator]}/admin/v1/plans" | field Number
+}
--- /dev/null
+++ b/scripts/steps.sh
@@ -0,0 +1,230 @@
+# The steps of the failure cases. A case is a file with one step a line; "$NAME" in
+# a step stands for what "pick" chose. Seeds vary the picks and the pauses.
+
+declare -A chosen=() upstream_flags=() upstream_kind=()
+violations=0
+event=0
+list=0
+loads=0
+
+# violation NAME TEXT counts a violated invariant.
+violation() {
+	echo "VIOLATION $1: $2"
+	violations=$((violations + 1))
+}
+
+# run_case FILE runs the steps of a case.
+run_case() {
+	local line words
+	while IFS= read -r line <&3; do
+		line=${line%%#*}
+		read -ra words <<<"$(expand "$line")"
+		[ "${#words[@]}" -gt 0 ] || continue
+		echo "$(date +%T) ${words[*]}"
+		"step_${words[0]}" "${words[@]:1}"
+	done 3<"$1"
+}
+
+# expand TEXT replaces "$NAME" by what was chosen for NAME.
+expand() {
+	local text=$1 name
+	for name in "${!chosen[@]}"; do text=${text//"\$$name"/${chosen[$name]}}; done
+	printf '%s\n' "$text"
+}
+
+# between LOW HIGH prints a random number of the seed.
+between() {
+	echo $(($1 + RANDOM % ($2 - $1 + 1)))
+}
+
+now_micros() {
+	echo $(($(date +%s%N) / 1000))
+}
+
+# vm NAME ZONE disk|none
+step_vm() { add_vm "$@"; }
+
+# include FILE runs the steps of another file.
+step_include() { run_case "scripts/fault.d/$1"; }
+
+# store LOADS_PER_SECOND FULL_SPEED
+step_store() {
+	store_rate=$1
+	start_standin store store --loads-per-second "$1" --full-speed "$2"
+}
+
+step_start() { start_cluster; }
+
+# engine NAME ZONE FLAGS... and service NAME ZONE FLAGS... start upstreams.
+step_engine() {
+	local name=$1 zone=$2
+	shift 2
+	upstream_kind[$name]="engine $zone" upstream_flags[$name]="--store ${addresses[store]} $*"
+	start_again "$name"
+}
+
+step_service() {
+	local name=$1 zone=$2
+	shift 2
+	upstream_kind[$name]="service $zone" upstream_flags[$name]="$*"
+	start_again "$name"
+}
+
+start_again() {
+	# shellcheck disable=SC2086
+	start_upstream "$1" ${upstream_kind[$1]} ${upstream_flags[$1]}
+}
+
+# lists VM ADAPTERS VERSIONS sets both lists and waits until every VM has them.
+step_lists() {
+	local vm
+	wait_for 20 put_accepted "$1" plans "$(plans_list)"
+	wait_for 20 put_accepted "$1" grants "$(grants_list "$2" "$3")"
+	for vm in "${vm_names[@]}"; do wait_for 15 at_number "$vm" "$list"; done
+}
+
+put_accepted() {
+	local answer
+	answer=$(put_list "$1" "$2" "$list" "$3")
+	case $answer in
+	*'"Hash"'*'"Winner"'*) return 1 ;;
+	*'"Hash"'*) list=$(field Number <<<"$answer") ;;
+	*) return 1 ;;
+	esac
+}
+
+at_number() { [ "$(list_number "$1")" -ge "$2" ]; }
+
+# load NAME ARGUMENTS... sends requests through every VM in the background.
+step_load() {
+	local name=$1 vm targets=()
+	shift
+	loads=$((loads + 1))
+	for vm in "${vm_names[@]}"; do targets+=(--target "${addresses[$vm]}"); done
+	start "$name" .bin/standin load --key "$caller_key" --seed $((seed * 100 + loads)) --out "$run_dir/$name.records" "${targets[@]}" "$@"
+}
+
+# await NAME SECONDS waits until a load has ended.
+step_await() {
+	local pid=${pids[$1]}
+	wait_for "$2" gone "$1" || violation Hang "load $1 did not end in $2 s"
+	wait "$pid" || violation Load "load $1 failed: $(tail -n 1 "$run_dir/$1.err")"
+	unset "pids[$1]"
+}
+
+gone() { ! alive "$1"; }
+
+# pick NAME CHOICES... chooses by the seed.
+step_pick() {
+	local name=$1
+	shift
+	chosen[$name]=${*:$(between 1 $#):1}
+	echo "         $name = ${chosen[$name]}"
+}
+
+# pause LOW HIGH waits for a time in milliseconds.
+step_pause() {
+	local millis
+	millis=$(between "$1" "$2")
+	sleep "$((millis / 1000)).$(printf %03d $((millis % 1000)))"
+}
+
+# event marks the time from which the recovery counts.
+step_event() { event=$(now_micros); }
+
+step_kill() { crash "$1"; }
+step_freeze() { kill -STOP "${pids[$1]}"; }
+step_thaw() { kill -CONT "${pids[$1]}"; }
+
+# drain NAME SECONDS ends a VM in order; it must exit by itself.
+step_drain() {
+	local pid=${pids[$1]} status=0
+	kill -TERM "$pid"
+	wait_for "$2" gone "$1" || violation Drain "$1 did not exit in $2 s"
+	alive "$1" && return
+	wait "$pid" || status=$?
+	[ "$status" = 0 ] || violation Drain "$1 exited with $status"
+	unset "pids[$1]"
+}
+
+# restart NAME [empty] starts a VM or an upstream again, a VM on an empty disk if
+# asked.
+step_restart() {
+	[ "${2:-}" != empty ] || rm -rf "$run_dir/data-$1"
+	if [ -n "${zone_of[$1]:-}" ]; then start_vm "$1"; else start_again "$1"; fi
+}
+
+# ready NAME SECONDS waits until a VM takes requests.
+step_ready() { wait_for "$2" ready "$1" || violation Ready "$1 is not ready after $2 s"; }
+
+# cut|cutoneway|heal|silence FROM TO with comma-separated ends.
+relay_change() {
+	local change=$1 one_way=$2 ends
+	ends="\"From\":[\"${3//,/\",\"}\"],\"To\":[\"${4//,/\",\"}\"]"
+	post "${addresses[relay]}/v1/$change" "{$ends,\"OneWay\":$one_way}" >/dev/null
+}
+step_cut() { relay_change cut false "$@"; }
+step_cutoneway() { relay_change cut true "$@"; }
+step_heal() { post "${addresses[relay]}/v1/heal" '{}' >/dev/null; }
+step_silence() { relay_change silence false "$@"; }
+
+# zone ZONE chooses the VMs of a zone as "inside" and all others as "outside".
+step_zone() {
+	local vm inside='' outside=''
+	for vm in "${vm_names[@]}"; do
+		if [ "${zone_of[$vm]}" = "$1" ]; then inside+=,$vm; else outside+=,$vm; fi
+	done
+	chosen[inside]=${inside#,} chosen[outside]=${outside#,}
+}
+
+# fail NAME JSON tells a stand-in what to do wrong.
+step_fail() { post "${addresses[$1]}/v1/standin/fail" "$2" >/dev/null; }
+
+# check RECORDS... judges the records of the loads with all journals.
+step_check() {
+	local arguments=() name
+	for name in "$@"; do arguments+=(--records "$run_dir/$name.records"); done
+	for name in "$run_dir"/*.journal; do arguments+=(--journal "$name"); done
+	.bin/standin check "${arguments[@]}" --event "$event" >"$run_dir/verdict.json" || violation Records "see the verdict"
+	cat "$run_dir/verdict.json"
+	for name in "${vm_names[@]}"; do
+		! grep -qE '^panic:|DATA RACE|fatal error:' "$run_dir/$name.err" || violation Panic "$name: $(grep -m 1 -E '^panic:|DATA RACE|fatal error:' "$run_dir/$name.err")"
+	done
+}
+
+# recovered SECONDS needs 95 of 100 requests served again within the time.
+step_recovered() {
+	local took
+	took=$(field RecoverySeconds <"$run_dir/verdict.json" | tr -d " ")
+	echo "recovery $took s bound $1 s"
+	awk -v took="${took:-0}" -v bound="$1" 'BEGIN { exit !(took >= 0 && took <= bound) }' || violation Recovery "$took s instead of $1 s"
+}
+
+# answered SHARE needs a share of all requests, in percent, to be answered.
+step_answered() {
+	local answered total
+	answered=$(field answered <"$run_dir/verdict.json" | tr -d " ")
+	total=$(field Requests <"$run_dir/verdict.json" | tr -d " ")
+	echo "answered ${answered:-0} of $total, bound $1 %"
+	[ $((${answered:-0} * 100)) -ge $(($1 * total)) ] || violation Answered "${answered:-0} of $total"
+}
+
+# ended MOST NAMES... allows at most MOST of the named upstreams to have ended.
+step_ended() {
+	local most=$1 name count=0
+	shift
+	for name in "$@"; do alive "$name" || count=$((count + 1)); done
+	echo "upstreams lost $count bound $most"
+	[ "$count" -le "$most" ] || violation Lost "$count upstreams ended"
+}
+
+# store_within TRANSIT: the store refused no load for its rate, and never had more
+# in transit.
+step_store_within() {
+	local counts refused transit
+	counts=$(curl -sS --max-time 5 "http://${addresses[store]}/v1/standin/counts")
+	refused=$(field Refused <<<"$counts") transit=$(field MaxTransit <<<"$counts")
+	echo "store: $counts"
+	[ "$refused" = 0 ] || violation StoreRate "$refused loads were refused for the rate"
+	[ "$transit" -le "$1" ] || violation StoreTransit "$transit loads in transit, limit $1"
+}
