Measure claims per sync and the start from disk

Cause: the design sets targets for both, and a start that hashes the configuration at every change would take over 20 s. Lists are checked before the state is locked.

--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -76,6 +76,9 @@
 // empty if there is none.
 func (replica *Replica) Leader() core.VMID { return replica.status.Load().Leader.VM }
 
+// Syncs returns the number of syncs of the replica's log since its start.
+func (replica *Replica) Syncs() uint64 { return replica.worker.files.Syncs() }
+
 // Err returns the reason for which the replica stopped, and nil while it works.
 func (replica *Replica) Err() error {
 	replica.stateLock.RLock()
@@ -139,13 +142,17 @@
 	if command.PutList == nil {
 		return command, ledger.Result{}, false, nil
 	}
+	prepared := ledger.Prepare(*command.PutList)
 	if err := replica.Confirm(ctx); err != nil {
 		return command, ledger.Result{}, false, errors.Join(ErrNotCommitted, err)
 	}
 	replica.stateLock.RLock()
 	defer replica.stateLock.RUnlock()
-	reduced, result, settled := replica.state.Reduce(command)
-	return reduced, result, settled, nil
+	change, result, settled := replica.state.Reduce(prepared)
+	if settled {
+		return command, ledger.Result{PutList: &result}, true, nil
+	}
+	return ledger.Command{At: command.At, Change: &change}, ledger.Result{}, false, nil
 }
 
 func (replica *Replica) commit(ctx context.Context, data []byte) (ledger.Result, error) {
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -39,7 +39,11 @@
 	Removed []core.PlanID     `json:",omitempty"`
 	// ContentHash is the hash of the whole list that the operator sent.
 	ContentHash string
-	Operator    string
+	// Hash is the hash of the whole configuration after the change. The leader
+	// computes it once, because it costs more than the change itself, which would
+	// slow down a start from disk. If it is empty, every replica computes it.
+	Hash     string
+	Operator string
 }
 
 // PutListResult is the answer to PutList. It is the same for every resend of the
--- a/pkg/replica/ledger/list.go
+++ b/pkg/replica/ledger/list.go
@@ -74,80 +74,81 @@
 
 // canonical is one list as sorted entries, each in its canonical JSON.
 type canonical struct {
-	plans    []core.PlanID
-	contents map[core.PlanID][]byte
+	plans   []core.PlanID
+	content func(core.PlanID) []byte
+}
+
+// form returns the list that is in force.
+func (series *series) form() canonical {
+	return canonical{plans: series.live, content: series.now}
 }
 
 // canonicalPlans returns the canonical form of a checked list.
 func canonicalPlans(list core.Plans) canonical {
-	form := canonical{contents: make(map[core.PlanID][]byte, len(list.Plans))}
-	for _, plan := range list.Plans {
-		form.add(plan.Plan, plan)
-	}
-	slices.Sort(form.plans)
-	return form
+	return canonicalForm(list.Plans, func(plan core.Plan) core.PlanID { return plan.Plan })
 }
 
 // canonicalGrants returns the canonical form of a checked list.
 func canonicalGrants(list core.Grants) canonical {
-	form := canonical{contents: make(map[core.PlanID][]byte, len(list.Grants))}
-	for _, grant := range list.Grants {
-		form.add(grant.Plan, grant)
-	}
-	slices.Sort(form.plans)
-	return form
+	return canonicalForm(list.Grants, func(grant core.Grant) core.PlanID { return grant.Plan })
 }
 
-func (form *canonical) add(plan core.PlanID, entry any) {
-	content, err := json.Marshal(entry)
-	if err != nil {
-		panic(errEntryEncoding)
+func canonicalForm[Entry any](entries []Entry, name func(Entry) core.PlanID) canonical {
+	contents := make(map[core.PlanID][]byte, len(entries))
+	plans := make([]core.PlanID, 0, len(entries))
+	for _, entry := range entries {
+		content, err := json.Marshal(entry)
+		if err != nil {
+			panic(errEntryEncoding)
+		}
+		plans = append(plans, name(entry))
+		contents[name(entry)] = content
 	}
-	form.plans = append(form.plans, plan)
-	form.contents[plan] = content
+	slices.Sort(plans)
+	return canonical{plans: plans, content: func(plan core.PlanID) []byte { return contents[plan] }}
 }
 
 // hash returns the hash of the list that the form stands for.
-func (form *canonical) hash() string {
+func (form canonical) hash() string {
 	sum := sha256.New()
-	writeEntries(sum, form.plans, func(plan core.PlanID) []byte { return form.contents[plan] })
+	form.write(sum)
 	return hex.EncodeToString(sum.Sum(nil))
 }
 
+func (form canonical) write(sum hash.Hash) {
+	sum.Write([]byte("["))
+	for i, plan := range form.plans {
+		if i > 0 {
+			sum.Write([]byte(","))
+		}
+		sum.Write(form.content(plan))
+	}
+	sum.Write([]byte("]"))
+}
+
 // difference returns what changes the present entries into the form.
-func (form *canonical) difference(series *series) (entries []json.RawMessage, removed []core.PlanID) {
+func (form canonical) difference(series *series) (entries []json.RawMessage, removed []core.PlanID) {
 	for _, plan := range form.plans {
-		if !bytes.Equal(series.now(plan), form.contents[plan]) {
-			entries = append(entries, form.contents[plan])
+		if !bytes.Equal(series.now(plan), form.content(plan)) {
+			entries = append(entries, form.content(plan))
 		}
 	}
 	for _, plan := range series.live {
-		if form.contents[plan] == nil {
+		if form.content(plan) == nil {
 			removed = append(removed, plan)
 		}
 	}
 	return entries, removed
 }
 
-func writeEntries(sum hash.Hash, plans []core.PlanID, content func(core.PlanID) []byte) {
-	sum.Write([]byte("["))
-	for i, plan := range plans {
-		if i > 0 {
-			sum.Write([]byte(","))
-		}
-		sum.Write(content(plan))
-	}
-	sum.Write([]byte("]"))
-}
-
 // hashConfig returns the SHA-256 of the canonical JSON of both lists:
 // {"Plans":[...],"Grants":[...]} with the entries sorted by plan.
-func hashConfig(plans, grants *series) string {
+func hashConfig(plans, grants canonical) string {
 	sum := sha256.New()
 	sum.Write([]byte(`{"Plans":`))
-	writeEntries(sum, plans.live, plans.now)
+	plans.write(sum)
 	sum.Write([]byte(`,"Grants":`))
-	writeEntries(sum, grants.live, grants.now)
+	grants.write(sum)
 	sum.Write([]byte("}"))
 	return hex.EncodeToString(sum.Sum(nil))
 }
@@ -155,12 +156,5 @@
 // Hash returns the hash of a configuration; the order of its entries does not
 // count.
 func Hash(plans core.Plans, grants core.Grants) string {
-	planForm, grantForm := canonicalPlans(plans), canonicalGrants(grants)
-	sum := sha256.New()
-	sum.Write([]byte(`{"Plans":`))
-	writeEntries(sum, planForm.plans, func(plan core.PlanID) []byte { return planForm.contents[plan] })
-	sum.Write([]byte(`,"Grants":`))
-	writeEntries(sum, grantForm.plans, func(plan core.PlanID) []byte { return grantForm.contents[plan] })
-	sum.Write([]byte("}"))
-	return hex.EncodeToString(sum.Sum(nil))
+	return hashConfig(canonicalPlans(plans), canonicalGrants(grants))
 }
--- a/pkg/replica/ledger/lists.go
+++ b/pkg/replica/ledger/lists.go
@@ -68,38 +68,64 @@
 	}
 }
 
-// Reduce returns the form of a command that is to be committed: a PutList becomes
-// a ListChange. If the answer is already certain, because the list has faults or
-// the number is taken, Reduce returns it and true, and nothing is to be committed.
-func (state *State) Reduce(command Command) (Command, Result, bool) {
-	if command.PutList == nil {
-		return command, Result{}, false
-	}
-	put := *command.PutList
-	form, faults := put.check()
-	if len(faults) > 0 {
-		return command, Result{PutList: state.lists.refuse(faults)}, true
+// Prepared is a checked PutList with everything that does not depend on the state.
+type Prepared struct {
+	put    PutList
+	form   canonical
+	faults []core.Fault
+	hash   string
+}
+
+// Prepare checks a list and brings it into its canonical form. At the design size
+// this takes over 10 ms, so it is done before the state is locked.
+func Prepare(put PutList) Prepared {
+	prepared := Prepared{put: put}
+	prepared.form, prepared.faults = put.check()
+	if len(prepared.faults) == 0 {
+		prepared.hash = prepared.form.hash()
 	}
-	change := ListChange{Kind: put.Kind, Replaces: put.Replaces, ContentHash: form.hash(), Operator: put.Operator}
+	return prepared
+}
+
+// Reduce returns the form of a PutList that is to be committed. If the answer is
+// already certain, because the list has faults or the number is taken, Reduce
+// returns it and true, and nothing is to be committed.
+func (state *State) Reduce(prepared Prepared) (ListChange, PutListResult, bool) {
+	put := prepared.put
+	if len(prepared.faults) > 0 {
+		return ListChange{}, state.lists.refuse(prepared.faults), true
+	}
+	change := ListChange{Kind: put.Kind, Replaces: put.Replaces, ContentHash: prepared.hash, Operator: put.Operator}
 	if put.Replaces != state.lists.number() {
-		result := state.lists.settled(change)
-		return command, Result{PutList: &result}, true
+		return ListChange{}, state.lists.settled(change), true
 	}
-	change.Entries, change.Removed = form.difference(state.lists.series(put.Kind))
-	return Command{At: command.At, Change: &change}, Result{}, false
+	change.Entries, change.Removed = prepared.form.difference(state.lists.series(put.Kind))
+	change.Hash = state.lists.hashWith(put.Kind, prepared.form)
+	return change, PutListResult{}, false
 }
 
-func (state *State) applyPutList(put PutList) Result {
-	reduced, result, settled := state.Reduce(Command{PutList: &put})
+func (state *State) applyPutList(put PutList) PutListResult {
+	change, result, settled := state.Reduce(Prepare(put))
 	if settled {
 		return result
 	}
-	accepted := state.lists.apply(state.now, *reduced.Change)
-	return Result{PutList: &accepted}
+	return state.lists.apply(state.now, change)
 }
 
-func (lists *lists) refuse(faults []core.Fault) *PutListResult {
-	return &PutListResult{Number: lists.number(), Hash: lists.hash(), Faults: faults}
+// hashWith returns the hash of the configuration if one of the lists is replaced.
+func (lists *lists) hashWith(kind core.ListKind, form canonical) string {
+	if kind == core.PlansList {
+		return hashConfig(form, lists.grants.form())
+	}
+	return hashConfig(lists.plans.form(), form)
+}
+
+func (lists *lists) computeHash() string {
+	return hashConfig(lists.plans.form(), lists.grants.form())
+}
+
+func (lists *lists) refuse(faults []core.Fault) PutListResult {
+	return PutListResult{Number: lists.number(), Hash: lists.hash(), Faults: faults}
 }
 
 // settled answers a change whose number is not the current one: the first answer
@@ -122,7 +148,7 @@
 	}
 	plans, faults := planIDs(change.Entries)
 	if len(faults) > 0 {
-		return *lists.refuse(faults)
+		return lists.refuse(faults)
 	}
 	number := change.Replaces + 1
 	list := lists.series(change.Kind)
@@ -132,8 +158,11 @@
 	for _, plan := range change.Removed {
 		list.set(plan, number, nil)
 	}
+	if change.Hash == "" {
+		change.Hash = lists.computeHash()
+	}
 	accepted := Change{
-		Number: number, Kind: change.Kind, Hash: hashConfig(lists.plans, lists.grants),
+		Number: number, Kind: change.Kind, Hash: change.Hash,
 		ContentHash: change.ContentHash, Operator: change.Operator, At: now,
 	}
 	lists.changes = append(lists.changes, changeRecord{accepted, slices.Concat(plans, change.Removed)})
--- a/pkg/replica/ledger/script_test.go
+++ b/pkg/replica/ledger/script_test.go
@@ -89,14 +89,14 @@
 // apply sends the command through its encoding, as the log does.
 func (script *script) apply(data *datadriven.TestData, command Command) Result {
 	command.At = number(data, "at")
-	reduced, result, settled := script.state.Reduce(command)
-	if settled && !data.HasArg("raw") {
-		return result
-	}
-	if data.HasArg("raw") {
-		reduced = command
+	if command.PutList != nil && !data.HasArg("raw") {
+		change, result, settled := script.state.Reduce(Prepare(*command.PutList))
+		if settled {
+			return Result{PutList: &result}
+		}
+		command = Command{At: command.At, Change: &change}
 	}
-	encoded, err := EncodeCommand(reduced)
+	encoded, err := EncodeCommand(command)
 	if err != nil {
 		script.t.Fatal(err)
 	}
--- a/pkg/replica/ledger/snapshot.go
+++ b/pkg/replica/ledger/snapshot.go
@@ -100,6 +100,9 @@
 	for _, change := range form.Changes {
 		state.lists.changes = append(state.lists.changes, changeRecord{change.Change, change.Plans})
 	}
+	if state.Number() > 0 && state.lists.computeHash() != state.Hash() {
+		return nil, errors.Errorf("the configuration %d in the snapshot does not match its hash", state.Number())
+	}
 	for _, owner := range form.Owners {
 		state.owners[owner.Group] = owner
 	}
--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -84,7 +84,8 @@
 	state.expireSuspects(index)
 	switch {
 	case command.PutList != nil:
-		return state.applyPutList(*command.PutList)
+		result := state.applyPutList(*command.PutList)
+		return Result{PutList: &result}
 	case command.Change != nil:
 		result := state.lists.apply(state.now, *command.Change)
 		return Result{PutList: &result}
--- a/pkg/replica/wal/log.go
+++ b/pkg/replica/wal/log.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
@@ -52,7 +53,7 @@
 	segments     []segment
 	file         File
 	hard         raft.HardState
-	syncs        uint64
+	syncs        atomic.Uint64
 
 	lock   sync.Mutex // a leaf: nothing else is locked while it is held
 	failed error
@@ -156,7 +157,7 @@
 func (log *Log) Incarnation() core.Incarnation { return log.incarnation }
 
 // Syncs returns the number of syncs of segments since the log was opened.
-func (log *Log) Syncs() uint64 { return log.syncs }
+func (log *Log) Syncs() uint64 { return log.syncs.Load() }
 
 // Save makes the hard state and entries durable with one write and one sync.
 // Entries replace those with the same or a larger index.
@@ -190,7 +191,7 @@
 	if _, err := log.file.Write(frame); err != nil {
 		return log.fail(errors.Wrap(err, "write log"))
 	}
-	log.syncs++
+	log.syncs.Add(1)
 	if err := log.file.Sync(); err != nil {
 		return log.fail(errors.Wrap(err, "sync log"))
 	}
