Assemble the VM from replicated state, audit log and operators' interface

Cause: the VM kept its state on one process. Change: replicas of the shards on disk VMs, a transport with one ordered queue a peer, configurations read from a replica or a disk VM, the auditor, the operators' handler and the order of the shutdown. Ownership still follows the settings until sessions are merged.

--- /dev/null
+++ b/internal/vm/archive.go
@@ -0,0 +1,91 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/host"
+	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+)
+
+// archive reads accepted configurations from this VM's replica, or from a disk VM if
+// this VM has none.
+type archive struct {
+	replica *host.Replica
+	disks   []core.VMID
+	client  *peer.Client
+}
+
+// Config returns an accepted configuration, the newest for number zero.
+func (archive archive) Config(ctx context.Context, number core.ConfigNumber) (core.Config, bool, error) {
+	var config core.Config
+	found, err := archive.fetch(ctx, &wire.ConfigFetch{Number: uint64(number)}, &config)
+	return config, found, err
+}
+
+// History returns up to limit changes after a number, the oldest first.
+func (archive archive) History(ctx context.Context, after core.ConfigNumber, limit int) ([]ledger.Change, error) {
+	var changes []ledger.Change
+	_, err := archive.fetch(ctx, &wire.ConfigFetch{After: uint64(after), Limit: uint32(limit)}, &changes)
+	return changes, err
+}
+
+func (archive archive) fetch(ctx context.Context, request *wire.ConfigFetch, target any) (bool, error) {
+	page, err := archive.page(ctx, request)
+	if err != nil {
+		return false, err
+	}
+	if !page.GetFound() {
+		return false, nil
+	}
+	if err := json.Unmarshal(page.Body, target); err != nil {
+		return false, errors.Wrap(err, "decode configuration")
+	}
+	return true, nil
+}
+
+func (archive archive) page(ctx context.Context, request *wire.ConfigFetch) (*wire.ConfigPage, error) {
+	if archive.replica != nil {
+		return archive.read(request)
+	}
+	var last error
+	for _, vm := range archive.disks {
+		response, err := archive.client.Call(ctx, vm, &wire.Request{Body: &wire.Request_ConfigFetch{ConfigFetch: request}})
+		if err == nil {
+			return response.GetConfigPage(), nil
+		}
+		last = err
+	}
+	return nil, errors.Wrap(last, "no VM with a disk answered")
+}
+
+// read answers a request from this VM's replica.
+func (archive archive) read(request *wire.ConfigFetch) (*wire.ConfigPage, error) {
+	var value any
+	var found bool
+	var err error
+	archive.replica.View(func(state *ledger.State) {
+		if request.Limit > 0 {
+			value, found = state.History(core.ConfigNumber(request.After), int(request.Limit)), true
+			return
+		}
+		number := core.ConfigNumber(request.Number)
+		if number == 0 {
+			number = state.Number()
+		}
+		value, found, err = state.At(number)
+	})
+	if err != nil || !found {
+		return &wire.ConfigPage{}, err
+	}
+	body, err := json.Marshal(value)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode configuration")
+	}
+	return &wire.ConfigPage{Found: true, Body: body}, nil
+}
--- /dev/null
+++ b/internal/vm/handler.go
@@ -0,0 +1,74 @@
+package vm
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/auditor"
+	"github.com/dandelionring/dandelionring/internal/host"
+	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// errUnknownRequest answers a request that this version does not know, or that needs a
+// disk on a VM without one.
+var errUnknownRequest = errors.New("this VM does not handle the request")
+
+// handler answers the requests of other VMs.
+type handler struct {
+	forwarding forwarding
+	registry   registry
+	auditor    *auditor.Auditor
+	archive    archive
+	// host is nil on a VM without a disk.
+	host *host.Host
+}
+
+// Handle answers a request of another VM.
+func (handler handler) Handle(ctx context.Context, from core.VMID, request *wire.Request, send func(*wire.Response) error) {
+	if forward := request.GetForward(); forward != nil {
+		handler.forwarding.forward(ctx, forward, send)
+		return
+	}
+	response, err := handler.answer(ctx, from, request)
+	if err != nil {
+		_ = peer.Fail(send, err)
+		return
+	}
+	_ = send(response)
+}
+
+func (handler handler) answer(ctx context.Context, _ core.VMID, request *wire.Request) (*wire.Response, error) {
+	switch body := request.Body.(type) {
+	case *wire.Request_AttemptQuery:
+		state := handler.forwarding.query(body.AttemptQuery)
+		return &wire.Response{Body: &wire.Response_AttemptState{AttemptState: state}}, nil
+	case *wire.Request_Announce:
+		result := handler.registry.accept(body.Announce)
+		return &wire.Response{Body: &wire.Response_AnnounceResult{AnnounceResult: result}}, nil
+	case *wire.Request_Audit:
+		result := handler.auditor.Receive(ctx, body.Audit)
+		return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
+	case *wire.Request_ConfigFetch:
+		return handler.configPage(body.ConfigFetch)
+	}
+	if handler.host != nil {
+		if response, ok := handler.host.Handle(ctx, request); ok {
+			return response, nil
+		}
+	}
+	return nil, errUnknownRequest
+}
+
+func (handler handler) configPage(request *wire.ConfigFetch) (*wire.Response, error) {
+	if handler.archive.replica == nil {
+		return nil, errUnknownRequest
+	}
+	page, err := handler.archive.read(request)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.Response{Body: &wire.Response_ConfigPage{ConfigPage: page}}, nil
+}
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -2,107 +2,177 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/dandelionring/dandelionring/internal/caller"
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/logging"
+	"github.com/dandelionring/dandelionring/internal/operator"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/upstream"
-	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
-	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
-// readyState tells the platform's balancer whether this VM takes requests.
-type readyState struct {
-	open atomic.Bool
-}
+// claimHold is the time after which a claim without an outcome counts as unknown. It is
+// longer than any call may run.
+const claimHold = 10 * time.Minute
 
-// Ready reports whether the VM takes new requests.
-func (state *readyState) Ready() bool { return state.open.Load() }
+// vm is one running entry VM.
+type vm struct {
+	settings settings.Settings
+	logs     *logging.Logs
+	logger   *log.Logger
+	self     peer.Identity
+	open     listeners
+	closers  cleanUp
+
+	client   *peer.Client
+	durable  durable
+	session  *first
+	owner    *dispatch.Owner
+	entry    *entry.Entry
+	registry registry
 
-type handler struct {
-	forwarding forwarding
-	registry   registry
-	first      *first
+	// ready is false before the VM can serve and while it drains.
+	ready atomic.Bool
 }
 
-// Handle answers a request of another VM.
-func (handler handler) Handle(ctx context.Context, _ core.VMID, request *wire.Request, send func(*wire.Response) error) {
-	switch body := request.Body.(type) {
-	case *wire.Request_Forward:
-		handler.forwarding.forward(ctx, body.Forward, send)
-	case *wire.Request_AttemptQuery:
-		_ = send(&wire.Response{Body: &wire.Response_AttemptState{AttemptState: handler.forwarding.query(body.AttemptQuery)}})
-	case *wire.Request_Announce:
-		_ = send(&wire.Response{Body: &wire.Response_AnnounceResult{AnnounceResult: handler.registry.accept(body.Announce)}})
-	case *wire.Request_ConfigFetch:
-		_ = send(&wire.Response{Body: &wire.Response_ConfigDelta{ConfigDelta: &wire.ConfigDelta{Plans: [][]byte{handler.first.config()}}}})
-	case *wire.Request_Propose:
-		var command ledger.Command
-		_ = json.Unmarshal(body.Propose.Command, &command)
-		result, _ := json.Marshal(handler.first.apply(command))
-		_ = send(&wire.Response{Body: &wire.Response_ProposeResult{ProposeResult: &wire.ProposeResult{Committed: true, Result: result}}})
-	default:
-		_ = peer.Fail(send, errors.New("unknown request"))
+// Ready reports whether the VM takes new requests.
+func (vm *vm) Ready() bool { return vm.ready.Load() }
+
+// Run runs a VM until the context ends, and then drains it. It prints the addresses on
+// which the VM listens as one JSON line on standard output.
+func Run(ctx context.Context, settings settings.Settings) error {
+	vm := &vm{settings: settings}
+	defer vm.closers.run()
+	if err := vm.build(); err != nil {
+		return err
 	}
+	return vm.serve(ctx)
 }
 
-// Run runs a VM until the context ends.
-func Run(ctx context.Context, settings settings.Settings) error {
-	logger := log.New(os.Stderr)
-	opened, closeListeners, err := listen(settings)
+func (vm *vm) build() error {
+	logs, err := logging.New(os.Stderr, vm.settings.LogLevel, vm.settings.SharedSecret, vm.settings.UpstreamToken)
+	if err != nil {
+		return err
+	}
+	vm.logs, vm.logger = logs, logs.Part("vm")
+	open, closeListeners, err := listen(vm.settings)
 	if err != nil {
 		return err
 	}
-	defer closeListeners()
-	self := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.SharedSecret)}
-	peers := make(map[core.VMID]string)
+	vm.open = open
+	vm.closers.add(closeListeners)
+	vm.self = peer.Identity{
+		VM:          vm.settings.VM,
+		Zone:        vm.settings.Zone,
+		Incarnation: core.Incarnation(ulid.Make().String()),
+		Secret:      []byte(vm.settings.SharedSecret),
+	}
+	client, closeClient := peer.NewClient(vm.self, peerAddresses(vm.settings), logs.Part("peer"))
+	vm.client = client
+	vm.closers.add(closeClient)
+	durable, closeDurable, err := openDurable(vm.settings, vm.self, client, logs)
+	if err != nil {
+		return err
+	}
+	vm.durable = durable
+	vm.closers.add(closeDurable)
+	vm.buildServing()
+	return nil
+}
+
+func peerAddresses(settings settings.Settings) map[core.VMID]string {
+	addresses := make(map[core.VMID]string)
 	for _, member := range settings.Others() {
-		peers[member.VM] = member.Address
+		addresses[member.VM] = member.Address
 	}
-	client, closeClient := peer.NewClient(self, peers, logger)
-	defer closeClient()
+	return addresses
+}
+
+func (vm *vm) buildServing() {
 	upstreams, closeUpstreams := upstream.NewClient()
-	defer closeUpstreams()
-	state := newFirst(settings, client)
-	owner := dispatch.New(state, upstreams, logger)
-	registry := registry{self: settings.VM, owners: state, owner: owner, client: client}
-	defer peer.Serve(opened.peer, self, handler{forwarding: forwarding{owner: owner, incarnation: self.Incarnation}, registry: registry, first: state}, logger)()
-	go state.run(ctx)
-	requests := entry.New(entry.Parts{
-		VM: settings.VM, Zone: settings.Zone, Incarnation: self.Incarnation,
-		DefaultDeadline: time.Duration(settings.DefaultDeadlineMillis) * time.Millisecond, ClaimHold: time.Minute,
-		Books: state, Directory: state, Claims: state, Suspects: state, Recorder: state, Logger: logger,
-		Dispatchers: dispatchers{self: settings.VM, owner: owner, client: client},
+	vm.closers.add(closeUpstreams)
+	vm.session = newFirst(vm.settings, vm.durable.archive, vm.durable.commands)
+	vm.owner = dispatch.New(vm.session, upstreams, vm.logs.Part("dispatch"))
+	vm.registry = registry{self: vm.settings.VM, owners: vm.session, owner: vm.owner, client: vm.client}
+	vm.entry = entry.New(entry.Parts{
+		VM:              vm.settings.VM,
+		Zone:            vm.settings.Zone,
+		Incarnation:     vm.self.Incarnation,
+		DefaultDeadline: vm.settings.DefaultDeadlineMillis.Duration(),
+		ClaimHold:       claimHold,
+		Books:           vm.session,
+		Directory:       vm.session,
+		Dispatchers:     dispatchers{self: vm.settings.VM, owner: vm.owner, client: vm.client},
+		Claims:          vm.durable.commands,
+		Suspects:        vm.session,
+		Crashes:         vm.session,
+		Conviction:      vm.settings.ConvictionSeconds.Duration(),
+		Recorder:        vm.durable.auditor,
+		Logger:          vm.logs.Part("entry"),
 	})
-	ready := &readyState{}
-	ready.open.Store(true)
-	stopCallers := serveHTTP(opened.caller, nil, caller.New(requests, ready, settings.MaxBodyBytes).Router())
-	stopUpstreams := serveHTTP(opened.upstream, nil, upstream.NewHandler(settings.UpstreamToken, registry))
-	stopOperators := serveHTTP(opened.operator, nil, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		var command ledger.Command
-		_ = json.NewDecoder(request.Body).Decode(&command)
-		result, _ := state.propose(request.Context(), command)
-		_ = json.NewEncoder(writer).Encode(result)
-	}))
-	if err := opened.addresses(settings.VM).print(os.Stdout); err != nil {
+}
+
+// serve answers until the context ends, and then drains.
+func (vm *vm) serve(ctx context.Context) error {
+	handler := handler{
+		forwarding: forwarding{owner: vm.owner, incarnation: vm.self.Incarnation},
+		registry:   vm.registry,
+		auditor:    vm.durable.auditor,
+		archive:    vm.durable.archive,
+		host:       vm.durable.host,
+	}
+	closePeers := peer.Serve(vm.open.peer, vm.self, handler, vm.logs.Part("peer"))
+	vm.closers.add(closePeers)
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	go vm.session.run(background)
+	servers, err := vm.serveHTTP()
+	if err != nil {
+		return err
+	}
+	vm.ready.Store(true)
+	if err := vm.open.addresses(vm.settings.VM).print(os.Stdout); err != nil {
 		return err
 	}
+	vm.logger.Info("Serving.", "vm", vm.settings.VM, "zone", vm.settings.Zone)
 	<-ctx.Done()
-	ready.open.Store(false)
-	for _, stop := range []func(context.Context) error{stopCallers, stopUpstreams, stopOperators} {
-		_ = stop(context.Background())
+	return vm.drain(servers)
+}
+
+// servers are the functions that shut the HTTP servers down.
+type servers struct {
+	callers, operators, upstreams func(context.Context) error
+}
+
+func (vm *vm) serveHTTP() (servers, error) {
+	callerTLS, err := vm.settings.CallerTLS.Server()
+	if err != nil {
+		return servers{}, err
 	}
-	return nil
+	operatorTLS, err := vm.settings.OperatorTLS.Server()
+	if err != nil {
+		return servers{}, err
+	}
+	operators := operator.New(operator.Parts{
+		TokenHashes:    vm.settings.OperatorTokenHashes,
+		Lists:          vm.durable.commands,
+		Configurations: vm.durable.archive,
+		Statuses:       status{vm: vm},
+		Levels:         vm.logs,
+		Logger:         vm.logs.Part("operator"),
+	})
+	return servers{
+		callers:   serveHTTP(vm.open.caller, callerTLS, caller.New(vm.entry, vm, vm.settings.MaxBodyBytes).Router()),
+		operators: serveHTTP(vm.open.operator, operatorTLS, operators),
+		upstreams: serveHTTP(vm.open.upstream, nil, upstream.NewHandler(vm.settings.UpstreamToken, vm.registry)),
+	}, nil
 }
