Give operators one program with subcommands

Cause: operators need to check, change, watch and verify without writing HTTP. Ruled out: guessing the replaced number of a list from the one in force, since that would undo a change that the operator has not seen.

--- /dev/null
+++ b/cmd/dandelionring/audit.go
@@ -0,0 +1,223 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/integrii/flaggy"
+
+	"github.com/dandelionring/dandelionring/pkg/audit"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// auditCommand reads the audit files of VMs.
+type auditCommand struct {
+	remote
+	folders []string
+	partial bool
+	history string
+	request string
+	json    bool
+
+	verify, show, export, configs *flaggy.Subcommand
+}
+
+func (command *auditCommand) attach() *flaggy.Subcommand {
+	group := flaggy.NewSubcommand("audit")
+	group.Description = "verify and read the audit log"
+	group.AdditionalHelpAppend = `
+  --folder names the audit folder of a VM with a disk (DataFolder/audit) or a copy
+  of it; give one for each VM. With --history, runs are compared with what their
+  configuration allowed.
+
+  Examples:
+    dandelionring audit configs > history.json
+    dandelionring audit verify --folder vm-1/audit --folder vm-3/audit --history history.json
+    dandelionring audit show 01JE0000000000000000000000 --folder vm-1/audit
+    dandelionring audit export --folder vm-1/audit > records.jsonl` + exitCodes
+	command.verify = command.action(group, "verify", "find altered, dropped, doubled, reordered and missing records, and runs that were not allowed")
+	command.verify.Bool(&command.partial, "", "partial", "the folders are not those of all VMs with a disk")
+	command.verify.String(&command.history, "", "history", "file that \"audit configs\" wrote")
+	command.show = command.action(group, "show", "print the life of one request")
+	command.show.AddPositionalValue(&command.request, "request", 1, true, "id in the header Dandelionring-Request")
+	command.export = command.action(group, "export", "print every record once, one JSON object a line")
+	command.configs = flaggy.NewSubcommand("configs")
+	command.configs.Description = "print every accepted configuration, for verify --history"
+	command.remote.attach(command.configs)
+	group.AttachSubcommand(command.configs, 1)
+	return group
+}
+
+func (command *auditCommand) action(group *flaggy.Subcommand, name, description string) *flaggy.Subcommand {
+	action := flaggy.NewSubcommand(name)
+	action.Description = description
+	action.StringSlice(&command.folders, "f", "folder", "audit folder of a VM")
+	action.Bool(&command.json, "j", "json", "print JSON")
+	group.AttachSubcommand(action, 1)
+	return action
+}
+
+func (command *auditCommand) run() error {
+	if command.configs.Used {
+		return command.runConfigs()
+	}
+	if err := checkFolders(command.folders); err != nil {
+		return err
+	}
+	switch {
+	case command.verify.Used:
+		return command.runVerify()
+	case command.show.Used:
+		return command.runShow()
+	case command.export.Used:
+		return command.runExport()
+	default:
+		return usageError("audit needs one of verify, show, export, configs")
+	}
+}
+
+// checkFolders refuses a folder without audit files, which would verify as sound.
+func checkFolders(folders []string) error {
+	if len(folders) == 0 {
+		return usageError("name at least one audit folder with --folder")
+	}
+	for _, folder := range folders {
+		files, err := audit.Files(folder)
+		if err != nil {
+			return err
+		}
+		if len(files) == 0 {
+			return usageError(folder + " holds no audit files")
+		}
+	}
+	return nil
+}
+
+// runConfigs prints the history that verify needs.
+func (command *auditCommand) runConfigs() error {
+	client, err := command.client()
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	changes, err := client.History(ctx, 0)
+	if err != nil {
+		return called(err)
+	}
+	configs := make([]core.Config, 0, len(changes))
+	for _, change := range changes {
+		plans, err := client.Plans(ctx, change.Number)
+		if err != nil {
+			return called(err)
+		}
+		grants, err := client.Grants(ctx, change.Number)
+		if err != nil {
+			return called(err)
+		}
+		configs = append(configs, core.Config{
+			Number: change.Number, Hash: plans.Hash,
+			Plans: core.Plans{Plans: plans.Plans}, Grants: core.Grants{Grants: grants.Grants},
+		})
+	}
+	return printJSON(configs)
+}
+
+func readHistory(path string) (audit.History, error) {
+	if path == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &exitError{codeUsage, errors.Wrap(err, "read history")}
+	}
+	var configs []core.Config
+	if err := json.Unmarshal(text, &configs); err != nil {
+		return nil, &exitError{codeUsage, errors.Wrap(err, "decode history")}
+	}
+	history := make(audit.History, len(configs))
+	for _, config := range configs {
+		history[config.Number] = config
+	}
+	return history, nil
+}
+
+func (command *auditCommand) runVerify() error {
+	history, err := readHistory(command.history)
+	if err != nil {
+		return err
+	}
+	report, err := audit.Verify(command.folders, audit.Scope{Partial: command.partial, History: history})
+	if err != nil {
+		return err
+	}
+	if command.json {
+		if err := printJSON(report); err != nil {
+			return err
+		}
+	} else {
+		printVerification(report)
+	}
+	if !report.Sound() {
+		return errors.Errorf("faults: %d", len(report.Faults))
+	}
+	return nil
+}
+
+func printVerification(report audit.Report) {
+	for _, finding := range report.Faults {
+		fmt.Println(finding)
+	}
+	for _, finding := range report.Notices {
+		fmt.Println("notice:", finding)
+	}
+	fmt.Printf("%d records of %d folders, %d runs, %d joined to their configuration\n", report.Records, report.Writers, report.Runs, report.Joined)
+}
+
+func (command *auditCommand) runShow() error {
+	life, err := audit.Life(command.folders, core.RequestID(command.request))
+	if err != nil {
+		return err
+	}
+	if len(life) == 0 {
+		return errors.Errorf("no record names request %s", command.request)
+	}
+	if command.json {
+		return printJSON(life)
+	}
+	for _, record := range life {
+		fmt.Println(recordLine(record))
+	}
+	return nil
+}
+
+func recordLine(record audit.Record) string {
+	what := "adapter " + core.AdapterVersion{Adapter: record.Adapter, Version: record.Version}.String()
+	if record.Service != "" {
+		what = "service " + string(record.Service)
+	}
+	line := fmt.Sprintf("%s %s %s/%d attempt %s customer %s plan %s configuration %d %s",
+		time.UnixMilli(record.At).UTC().Format("2006-01-02T15:04:05.000Z"), record.Event, record.VM, record.Sequence,
+		record.Attempt, record.Customer, record.Plan, record.Config, what)
+	if record.Event != audit.EventStart {
+		line += fmt.Sprintf(" upstream %s outcome %s whole %t code %q tokens %d after %s",
+			record.Upstream, record.Outcome, record.Whole, record.Code, record.Tokens, time.Duration(record.TotalMicros)*time.Microsecond)
+	}
+	return line
+}
+
+func (command *auditCommand) runExport() error {
+	encoder := json.NewEncoder(os.Stdout)
+	for record, err := range audit.Distinct(command.folders) {
+		if err != nil {
+			return err
+		}
+		if err := encoder.Encode(record); err != nil {
+			return errors.Wrap(err, "write output")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/dandelionring/script_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/dandelionring/dandelionring/internal/logging"
+	"github.com/dandelionring/dandelionring/internal/operator"
+	"github.com/dandelionring/dandelionring/internal/settings"
+	"github.com/dandelionring/dandelionring/pkg/audit"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"dandelionring": main})
+}
+
+// TestScripts guards against subcommands that print, accept or exit otherwise than
+// their help says. Scripts are read from testdata/scripts.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			examples, err := os.Getwd()
+			env.Setenv("EXAMPLES", examples+"/../../examples")
+			return err
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"operators": startOperators, "records": writeRecords, "alter": alterFile, "exits": exits,
+		},
+	})
+}
+
+// exits runs a command and compares its exit code: exits 3 dandelionring ...
+func exits(script *testscript.TestScript, _ bool, args []string) {
+	err := script.Exec(args[1], args[2:]...)
+	if got := fmt.Sprint(err); !strings.Contains(got, "exit status "+args[0]) {
+		script.Fatalf("got %s, want exit status %s", got, args[0])
+	}
+}
+
+// backend answers operators from one state machine.
+type backend struct {
+	mutex sync.Mutex
+	state *ledger.State
+	index uint64
+}
+
+// PutList applies a change at once.
+func (backend *backend) PutList(_ context.Context, put ledger.PutList) (ledger.PutListResult, error) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	backend.index++
+	return *backend.state.Apply(backend.index, ledger.Command{At: 1000, PutList: &put}).PutList, nil
+}
+
+// Config returns a configuration of the state.
+func (backend *backend) Config(_ context.Context, number core.ConfigNumber) (core.Config, bool, error) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	if number == 0 {
+		number = backend.state.Number()
+	}
+	return backend.state.At(number)
+}
+
+// History returns the changes of the state.
+func (backend *backend) History(_ context.Context, after core.ConfigNumber, limit int) ([]ledger.Change, error) {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	return backend.state.History(after, limit), nil
+}
+
+// Status returns a status with one VM.
+func (backend *backend) Status(context.Context) operator.Status {
+	return operator.Status{VM: "vm-1", Zone: "a", Leader: "vm-1", VMs: []operator.VMStatus{{VM: "vm-1", Zone: "a", Disk: true, Reachable: true}}}
+}
+
+// Unconfirmed names a zone that never confirms.
+func (backend *backend) Unconfirmed(context.Context, core.ConfigNumber) []core.ZoneID {
+	return []core.ZoneID{"d"}
+}
+
+func startOperators(script *testscript.TestScript, _ bool, _ []string) {
+	backend := &backend{state: ledger.New(ledger.Limits{})}
+	logs, err := logging.New(io.Discard, "info")
+	script.Check(err)
+	server := httptest.NewServer(operator.New(operator.Parts{
+		TokenHashes: []core.KeyHash{settings.HashToken(settings.DevelopmentToken)},
+		Lists:       backend, Configurations: backend, Statuses: backend, Levels: logs, Logger: log.New(io.Discard),
+	}))
+	script.Defer(server.Close)
+	script.Setenv(addressVariable, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// writeRecords writes the records of a file, one JSON object a line, to a folder.
+func writeRecords(script *testscript.TestScript, _ bool, args []string) {
+	writer, closeWriter, err := audit.Open(script.MkAbs(args[0]), audit.Options{VM: "vm-1"})
+	script.Check(err)
+	defer closeWriter()
+	for line := range strings.Lines(script.ReadFile(args[1])) {
+		record := audit.Record{VM: "vm-1", Incarnation: "i1", At: time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC).UnixMilli()}
+		script.Check(json.Unmarshal([]byte(line), &record))
+		payload, err := audit.Encode(record)
+		script.Check(err)
+		script.Check(writer.Append(context.Background(), payload))
+	}
+}
+
+// alterFile replaces a text in a file by another of the same length.
+func alterFile(script *testscript.TestScript, _ bool, args []string) {
+	files, err := audit.Files(script.MkAbs(args[0]))
+	script.Check(err)
+	data, err := os.ReadFile(files[0])
+	script.Check(err)
+	script.Check(os.WriteFile(files[0], bytes.Replace(data, []byte(args[1]), []byte(args[2]), 1), 0o600))
+}
