Take the errors of a put that certainly failed as a list

Cause: the replicated state names its errors with sentinels, not with a method. Ruled out: a method Uncertain on every error, which wrapping would hide. Conclusion: any error that is not on the list is answered as uncertain.

--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -16,8 +16,7 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
-// lists puts lists through the replicated state. An error that has a method
-// Uncertain() bool says whether the change may still be accepted.
+// lists puts lists through the replicated state.
 type lists interface {
 	PutList(ctx context.Context, put ledger.PutList) (ledger.PutListResult, error)
 }
@@ -47,8 +46,11 @@
 // Parts are what the handler needs from the other parts of the VM.
 type Parts struct {
 	// TokenHashes are the hashes of the operators' tokens.
-	TokenHashes    []core.KeyHash
-	Lists          lists
+	TokenHashes []core.KeyHash
+	Lists       lists
+	// NotAccepted are the errors of Lists after which a change has no effect for
+	// certain. After any other error it may still be accepted.
+	NotAccepted    []error
 	Configurations configurations
 	Statuses       statuses
 	Levels         levels
--- a/internal/operator/list.go
+++ b/internal/operator/list.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -75,20 +76,15 @@
 	result, err := handler.parts.Lists.PutList(ctx, put)
 	if err != nil {
 		handler.parts.Logger.Warn("List not accepted.", "list", kind, "operator", put.Operator, "error", err)
-		answer(writer, http.StatusServiceUnavailable, failure{Error: err.Error(), Uncertain: uncertain(err)})
+		answer(writer, http.StatusServiceUnavailable, failure{Error: err.Error(), Uncertain: handler.uncertain(err)})
 		return
 	}
 	handler.answerPut(request.Context(), writer, put, result)
 }
 
-// uncertain reports whether a change that failed may still be accepted. An error
-// that does not say so may hide a committed change.
-func uncertain(err error) bool {
-	var statement interface{ Uncertain() bool }
-	if errors.As(err, &statement) {
-		return statement.Uncertain()
-	}
-	return true
+// uncertain reports whether a change that failed may still be accepted.
+func (handler *Handler) uncertain(err error) bool {
+	return !slices.ContainsFunc(handler.parts.NotAccepted, func(known error) bool { return errors.Is(err, known) })
 }
 
 func (handler *Handler) answerPut(ctx context.Context, writer http.ResponseWriter, put ledger.PutList, result ledger.PutListResult) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -25,14 +25,11 @@
 	failed error
 }
 
-// noMajority is an error after which the change may or may not be accepted.
-type noMajority bool
-
-// Error returns the reason.
-func (noMajority) Error() string { return "no majority of disks" }
-
-// Uncertain reports whether the change may still be accepted.
-func (err noMajority) Uncertain() bool { return bool(err) }
+// The errors of a put without and with an effect that is not known.
+var (
+	errNoMajority = errors.New("no majority of disks")
+	errUncertain  = errors.New("no answer from the majority of disks")
+)
 
 // PutList applies a change at once.
 func (backend *backend) PutList(_ context.Context, put ledger.PutList) (ledger.PutListResult, error) {
@@ -78,12 +75,15 @@
 	}
 	handler := New(Parts{
 		TokenHashes: []core.KeyHash{settings.HashToken("other"), settings.HashToken("token")},
-		Lists:       backend, Configurations: backend, Statuses: backend, Levels: logs, Logger: log.New(io.Discard),
+		Lists:       backend, NotAccepted: []error{errNoMajority}, Configurations: backend, Statuses: backend, Levels: logs, Logger: log.New(io.Discard),
 	})
 	datadriven.RunTest(t, "testdata/calls", func(t *testing.T, data *datadriven.TestData) string {
 		switch data.Cmd {
 		case "lose-majority":
-			backend.failed = errors.Wrap(noMajority(data.HasArg("uncertain")), "put list")
+			backend.failed = errors.Wrap(errNoMajority, "put list")
+			if data.HasArg("uncertain") {
+				backend.failed = errors.Wrap(errUncertain, "put list")
+			}
 			return ""
 		case "regain-majority":
 			backend.failed = nil
