--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,87 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/quarantine"
+)
+
+// Request is one request of a caller. Either Wanted or Service is set.
+type Request struct {
+	Key core.KeyHash
+	// Wanted is the adapter of a model request; its version may be empty.
+	Wanted         core.AdapterVersion
+	Service        core.ServiceID
+	Method         string
+	Path           string
+	Query          string
+	Headers        []core.Header
+	Body           []byte
+	Stream         bool
+	IdempotencyKey core.IdempotencyKey
+	Prefixes       []uint64
+}
+
+// group returns the kind and the name of the upstream group that serves the request.
+func (request Request) group(pin core.Pin) (core.GroupKind, string) {
+	if request.Service != "" {
+		return core.ServiceGroup, string(request.Service)
+	}
+	return core.EngineGroup, string(pin.Model)
+}
+
+// path returns the path with the query that the upstream gets.
+func (request Request) path() string {
+	if request.Query == "" {
+		return request.Path
+	}
+	return request.Path + "?" + request.Query
+}
+
+// fingerprint recognises the request when it is sent again.
+func (request Request) fingerprint(customer core.CustomerID, adapter core.AdapterID) core.Fingerprint {
+	return quarantine.Fingerprint(quarantine.Content{
+		Customer: customer, Service: request.Service, Adapter: adapter,
+		Method: request.Method, Path: request.path(), Body: request.Body,
+	})
+}
+
+// content hashes a call byte by byte, so that an idempotency key stands for exactly
+// one call.
+func (request Request) content() core.Fingerprint {
+	hash := sha256.New()
+	fmt.Fprintf(hash, "%q %q %q\n", request.Service, request.Method, request.path())
+	hash.Write(request.Body)
+	return core.Fingerprint(hex.EncodeToString(hash.Sum(nil)))
+}
+
+// Answer is what the caller learns beside the bytes of the answer.
+type Answer struct {
+	Request core.RequestID
+	Attempt core.AttemptID
+	Pin     core.Pin
+	Config  core.ConfigNumber
+	// ConfigAge is the age of the configuration while the VM has no contact to a
+	// majority; zero otherwise.
+	ConfigAge time.Duration
+	Head      core.Head
+	// Replayed is set if the answer was recorded earlier.
+	Replayed bool
+}
+
+// restarter is a Responder that shows nothing to the caller before the answer is
+// whole, and can drop what it collected.
+type restarter interface {
+	Restart()
+}
+
+// Responder passes an answer to the caller. Head is called once, before the first
+// Data.
+type Responder interface {
+	Head(answer Answer) error
+	Data(data []byte) error
+}
