Dispatch by the scheduler

The owner's tables hold one scheduler for each group and fencing token; orders are jobs of the pool and requests wait on channels. Slots of loads without an answer stay unused for 30 s, and 507 leaves the slot alone as well, because an engine whose load hangs keeps the slot.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -4,175 +4,125 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 )
 
-// upstreamLease is the time after its last announcement for which an upstream gets
-// new work.
-const upstreamLease = 3 * time.Second
-
-// group is one upstream group. Its owner's lock guards it.
+// group is one upstream group under one fencing token. Its owner's lock guards it.
 type group struct {
-	members map[core.UpstreamID]*member
-	ejected func(address string) bool
-	// changed is closed and replaced when a waiting call may find a place.
-	changed chan struct{}
-}
-
-// member is one upstream.
-type member struct {
-	id          core.UpstreamID
-	incarnation core.Incarnation
-	address     string
-	leaving     bool
-	until       time.Time
-	slots       int
-	batch       int
-	running     int
-	adapters    map[core.AdapterVersion]*residency
-}
-
-type residency struct {
-	ready bool
-	pins  int
-	used  time.Time
-}
-
-func newGroup(ejected func(address string) bool) *group {
-	return &group{members: make(map[core.UpstreamID]*member), ejected: ejected, changed: make(chan struct{})}
-}
-
-// alive reports whether any upstream takes new work, now or when a place is free.
-func (group *group) alive(now time.Time) bool {
-	for _, entry := range group.members {
-		if group.lives(entry, now) {
-			return true
-		}
-	}
-	return false
-}
-
-func (group *group) lives(entry *member, now time.Time) bool {
-	return !entry.leaving && now.Before(entry.until) && !group.ejected(entry.address)
-}
-
-func (group *group) takes(entry *member, now time.Time) bool {
-	return group.lives(entry, now) && (entry.batch == 0 || entry.running < entry.batch)
-}
-
-func (group *group) wake() {
-	close(group.changed)
-	group.changed = make(chan struct{})
-}
-
-func (group *group) announce(announcement core.Announcement, now time.Time) {
-	entry, ok := group.members[announcement.Upstream]
-	if !ok || entry.incarnation != announcement.Incarnation {
-		entry = &member{id: announcement.Upstream, incarnation: announcement.Incarnation, adapters: make(map[core.AdapterVersion]*residency)}
-		group.members[announcement.Upstream] = entry
-		for _, resident := range announcement.Resident {
-			entry.adapters[resident.AdapterVersion] = &residency{ready: true, used: now}
-		}
+	id core.GroupID
+	// token is that of the ownership in which the scheduler's knowledge was gathered.
+	// It is zero before the VM held the lease for the first time.
+	token     core.FencingToken
+	scheduler *scheduler.Scheduler
+	addresses map[core.UpstreamID]string
+	tickets   map[core.AttemptID]*ticket
+	actions   []scheduler.Action
+	timer     *time.Timer
+	wakeAt    time.Time
+	dropped   bool
+	counted   scheduler.Stats
+	metrics   *groupMetrics
+}
+
+// ticket is a call that waits for its Send or Refuse.
+type ticket struct {
+	call core.Call
+	// actions holds the newest action. A Send that was withdrawn is replaced by the
+	// action that follows it.
+	actions chan scheduler.Action
+}
+
+// group returns the table of a group. A new fencing token means that the group had
+// another owner meanwhile, so what was known before is dropped.
+func (owner *Owner) group(id core.GroupID, token core.FencingToken) *group {
+	entry, known := owner.groups[id]
+	if known && token != 0 && entry.token != 0 && entry.token != token {
+		owner.drop(entry, time.Now())
+		known = false
 	}
-	entry.address = announcement.Address
-	entry.leaving = announcement.Leaving
-	entry.until = now.Add(upstreamLease)
-	entry.slots, entry.batch = announcement.Slots, announcement.BatchSize
-	group.wake()
-}
-
-// choose returns an upstream with a place reserved, or one on which the adapter is to
-// be loaded first, or nil if the call has to wait.
-func (group *group) choose(adapter core.AdapterVersion, now time.Time) (chosen *member, load bool, evict core.AdapterVersion) {
-	var best *member
-	for _, entry := range group.members {
-		if !group.takes(entry, now) || !entry.holds(adapter) {
-			continue
-		}
-		if best == nil || entry.running < best.running {
-			best = entry
+	if !known {
+		entry = &group{
+			id: id, scheduler: scheduler.New(owner.config, time.Now()),
+			addresses: make(map[core.UpstreamID]string), tickets: make(map[core.AttemptID]*ticket),
+			metrics: newGroupMetrics(id),
 		}
+		owner.groups[id] = entry
 	}
-	if best != nil {
-		best.pin(adapter, now)
-		return best, false, core.AdapterVersion{}
+	if token != 0 {
+		entry.token = token
 	}
-	if adapter.IsZero() || group.loading(adapter) {
-		return nil, false, core.AdapterVersion{}
-	}
-	return group.chooseSlot(adapter, now)
+	return entry
 }
 
-func (group *group) chooseSlot(adapter core.AdapterVersion, now time.Time) (*member, bool, core.AdapterVersion) {
-	var best *member
-	var evict core.AdapterVersion
-	for _, entry := range group.members {
-		victim, ok := entry.victim()
-		if !group.takes(entry, now) || !ok {
-			continue
-		}
-		if best == nil || entry.running < best.running {
-			best, evict = entry, victim
-		}
-	}
-	if best == nil {
-		return nil, false, evict
+// drop refuses the calls of a group that have not started and forgets the group. The
+// calls that run keep its scheduler until they end.
+func (owner *Owner) drop(group *group, now time.Time) {
+	group.scheduler.Shut(now)
+	owner.act(group, now)
+	group.dropped = true
+	if group.timer != nil {
+		group.timer.Stop()
 	}
-	best.adapters[adapter] = &residency{used: now}
-	delete(best.adapters, evict)
-	return best, true, evict
-}
-
-func (group *group) loading(adapter core.AdapterVersion) bool {
-	for _, entry := range group.members {
-		if held, ok := entry.adapters[adapter]; ok && !held.ready {
-			return true
+	delete(owner.groups, group.id)
+}
+
+// act hands out the actions of a group's scheduler and arms its next tick.
+func (owner *Owner) act(group *group, now time.Time) {
+	group.actions = group.scheduler.Take(group.actions[:0])
+	for _, action := range group.actions {
+		switch {
+		case action.Kind == scheduler.Refuse:
+			group.tell(action)
+		case group.dropped:
+			// The table that followed gives the orders now.
+		case action.Kind == scheduler.Send:
+			group.tell(action)
+		case action.Kind == scheduler.Load:
+			owner.load(group, action)
+		case action.Kind == scheduler.Evict:
+			owner.evict(group, action)
 		}
 	}
-	return false
+	group.observe(now)
+	owner.arm(group, now)
 }
 
-func (group *group) loaded(chosen *member, adapter core.AdapterVersion, ok bool) {
-	if ok {
-		chosen.adapters[adapter].ready = true
-	} else {
-		delete(chosen.adapters, adapter)
+// tell gives an action to the goroutine of its call.
+func (group *group) tell(action scheduler.Action) {
+	ticket, waits := group.tickets[action.Attempt]
+	if !waits {
+		return
 	}
-	group.wake()
-}
-
-func (group *group) release(chosen *member, adapter core.AdapterVersion) {
-	chosen.running--
-	if held, ok := chosen.adapters[adapter]; ok {
-		held.pins--
+	select {
+	case <-ticket.actions:
+	default:
 	}
-	group.wake()
+	ticket.actions <- action
 }
 
-func (entry *member) holds(adapter core.AdapterVersion) bool {
-	held, ok := entry.adapters[adapter]
-	return adapter.IsZero() || (ok && held.ready)
-}
-
-func (entry *member) pin(adapter core.AdapterVersion, now time.Time) {
-	entry.running++
-	if held, ok := entry.adapters[adapter]; ok {
-		held.pins++
-		held.used = now
+// arm sets the timer to the next tick that the scheduler wants, if that is earlier
+// than the one that is set.
+func (owner *Owner) arm(group *group, now time.Time) {
+	next, wanted := group.scheduler.NextTick(now)
+	if group.dropped || !wanted || (!group.wakeAt.IsZero() && !next.Before(group.wakeAt)) {
+		return
+	}
+	group.wakeAt = next
+	if group.timer == nil {
+		group.timer = time.AfterFunc(next.Sub(now), func() { owner.jobs.Go(func() { owner.tick(group) }) })
+		return
 	}
+	group.timer.Reset(next.Sub(now))
 }
 
-// victim returns the least recently used adapter version without a pin, or none if a
-// slot is free. The second result is false if every slot is pinned.
-func (entry *member) victim() (core.AdapterVersion, bool) {
-	if len(entry.adapters) < entry.slots {
-		return core.AdapterVersion{}, true
-	}
-	var oldest core.AdapterVersion
-	var used time.Time
-	for adapter, held := range entry.adapters {
-		if held.ready && held.pins == 0 && (oldest.IsZero() || held.used.Before(used)) {
-			oldest, used = adapter, held.used
-		}
+func (owner *Owner) tick(group *group) {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	if group.dropped {
+		return
 	}
-	return oldest, !oldest.IsZero()
+	now := time.Now()
+	group.wakeAt = time.Time{}
+	group.scheduler.Tick(now)
+	owner.act(group, now)
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -33,6 +33,9 @@
 	return "order refused, the engine has seen fencing token " + strconv.FormatUint(uint64(err.LastToken), 10)
 }
 
+// ErrNoSlot is returned for a load that the engine has no free slot for.
+var ErrNoSlot = errors.New("the engine has no free slot")
+
 type order struct {
 	Adapter core.AdapterID
 	Version core.Version
@@ -84,6 +87,8 @@
 		return answer, nil
 	case http.StatusConflict:
 		return orderAnswer{}, &FencedError{LastToken: answer.LastToken}
+	case http.StatusInsufficientStorage:
+		return orderAnswer{}, ErrNoSlot
 	default:
 		return orderAnswer{}, errors.Errorf("engine answered %d: %s", response.StatusCode, answer.Error)
 	}
--- a/internal/vm/registry.go
+++ b/internal/vm/registry.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/routing"
 )
 
 // owners tells which VM owns a group.
@@ -49,8 +50,15 @@
 	return owner, nil
 }
 
-// CacheEvents drops the events.
-func (registry registry) CacheEvents(core.UpstreamID, core.Incarnation, []upstream.CacheEvent) {}
+// CacheEvents takes events to the groups that this VM owns. Those of an engine whose
+// group another VM owns are lost, which the routing allows for.
+func (registry registry) CacheEvents(id core.UpstreamID, incarnation core.Incarnation, events []upstream.CacheEvent) {
+	list := make([]routing.CacheEvent, len(events))
+	for i, event := range events {
+		list[i] = routing.CacheEvent(event)
+	}
+	registry.owner.CacheEvents(id, incarnation, list)
+}
 
 // accept takes an announcement that another VM passed on. It refuses with a reason if
 // this VM does not own the group.
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -15,6 +15,7 @@
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/operator"
 	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/pool"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -24,6 +25,11 @@
 // longer than any call may run.
 const claimHold = 10 * time.Minute
 
+// minWorkers is the least number of workers. Orders to engines occupy a worker while
+// they wait, up to the 5 s of a load that is not answered, and ticks must not wait for
+// them.
+const minWorkers = 32
+
 // vm is one running entry VM.
 type vm struct {
 	settings settings.Settings
@@ -34,6 +40,7 @@
 	closers  cleanUp
 
 	client   *peer.Client
+	jobs     *pool.Pool
 	durable  durable
 	session  *first
 	owner    *dispatch.Owner
@@ -105,8 +112,11 @@
 func (vm *vm) buildServing() {
 	upstreams, closeUpstreams := upstream.NewClient()
 	vm.closers.add(closeUpstreams)
+	jobs, closeJobs := pool.New(max(vm.settings.Workers, minWorkers), 0)
+	vm.jobs = jobs
+	vm.closers.add(closeJobs)
 	vm.session = newFirst(vm.settings, vm.durable.archive, vm.durable.commands)
-	vm.owner = dispatch.New(vm.session, upstreams, vm.logs.Part("dispatch"))
+	vm.owner = dispatch.New(vm.session, upstreams, vm.jobs, vm.schedulerConfig(), vm.logs.Part("dispatch"))
 	vm.registry = registry{self: vm.settings.VM, owners: vm.session, owner: vm.owner, client: vm.client}
 	vm.entry = entry.New(entry.Parts{
 		VM:              vm.settings.VM,
--- a/pkg/policy/scheduler/answer.go
+++ b/pkg/policy/scheduler/answer.go
@@ -64,12 +64,47 @@
 	if state == slotFree {
 		scheduler.vacate(to.upstream, to.slot, now)
 	} else {
-		slot.state, slot.changed = state, now
+		slot.state, slot.changed, slot.limit = state, now, now.Add(settleAfter)
 		scheduler.review(id, now)
 	}
 	scheduler.names.Release(id)
 }
 
+// LoadRefused takes in that an engine had no free slot for a Load. The slot is left
+// alone for a while, because a load that never ended may occupy it, and the load
+// goes elsewhere at once.
+func (scheduler *Scheduler) LoadRefused(id core.UpstreamID, incarnation core.Incarnation, name core.AdapterVersion, now time.Time) {
+	scheduler.expire(now)
+	to, ok := scheduler.locate(id, incarnation, name)
+	if !ok {
+		return
+	}
+	slot := &scheduler.upstreams[to.upstream].slots[to.slot]
+	scheduler.settleLoad(slot)
+	if slot.state == slotLoading {
+		scheduler.loadFailed(to, slotUncertain, now)
+	}
+	scheduler.settle(now)
+}
+
+// Absent takes in that an engine refused a call because it does not hold the adapter
+// version. The copy is not used again before an announcement shows it.
+func (scheduler *Scheduler) Absent(id core.UpstreamID, incarnation core.Incarnation, name core.AdapterVersion, now time.Time) {
+	scheduler.expire(now)
+	to, ok := scheduler.locate(id, incarnation, name)
+	if !ok {
+		return
+	}
+	slot := &scheduler.upstreams[to.upstream].slots[to.slot]
+	if slot.state == slotResident {
+		slot.state, slot.changed, slot.limit = slotUncertain, now, now
+		if scheduler.upstreams[to.upstream].indexed {
+			scheduler.unlist(to.upstream, to.slot, now)
+		}
+	}
+	scheduler.settle(now)
+}
+
 // refuseLane refuses every call that waits for an adapter.
 func (scheduler *Scheduler) refuseLane(id int32, now time.Time) {
 	for {
--- a/pkg/policy/scheduler/config.go
+++ b/pkg/policy/scheduler/config.go
@@ -28,6 +28,10 @@
 	// engineBackoff keeps loads off an engine that failed several in a row.
 	engineBackoff  = 2 * time.Second
 	engineFailures = 3
+	// settleAfter is the time for which a slot is left alone whose load was not
+	// answered: the engine may still be loading, and a load that never ends keeps
+	// its slot.
+	settleAfter = 30 * time.Second
 	// evictRetry is the pause after an eviction that was refused.
 	evictRetry        = 500 * time.Millisecond
 	defaultBatchSize  = 256
--- a/pkg/policy/scheduler/slot.go
+++ b/pkg/policy/scheduler/slot.go
@@ -32,7 +32,8 @@
 	foreignAt time.Time
 	// changed is the time of the last order or answer.
 	changed time.Time
-	// limit is the time until which a load or an eviction must be answered.
+	// limit is the time until which a load or an eviction must be answered, and the
+	// time before which an uncertain slot is not free.
 	limit time.Time
 	// used is set once a call ran on the copy.
 	used bool
@@ -180,10 +181,10 @@
 		scheduler.confirm(at, index, now)
 	case slot.state == slotEvicting && !resident && slot.next == none:
 		scheduler.vacate(at, index, now)
-	case slot.state == slotUncertain && slot.pins == 0:
+	case slot.state == slotUncertain && slot.pins == 0 && !slot.limit.After(now):
 		scheduler.vacate(at, index, now)
 	case slot.state == slotResident && !resident:
-		slot.state = slotUncertain
+		slot.state, slot.limit = slotUncertain, now
 		if scheduler.upstreams[at].indexed {
 			scheduler.unlist(at, index, now)
 		}
