--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,8 +20,11 @@
 	maxOrderAnswer = 64 << 10
 	// maxEvent bounds one server-sent event in bytes.
 	maxEvent = 1 << 20
-	// maxLine bounds one line of an event in bytes.
-	maxLine = 256 << 10
+	// readBuffer is the size in bytes of the buffer of one stream. Longer lines are
+	// put together from parts.
+	readBuffer = 16 << 10
+	// maxChunk is the size in bytes at which collected events are passed on.
+	maxChunk = 32 << 10
 )
 
 // FencedError is returned if an engine refused an order with an old fencing token.
@@ -183,40 +187,89 @@
 )
 
 // relayEvents passes on whole events, so that a break never leaves half an event at
-// the caller. Each event is one token; the end marker is not passed on.
+// the caller. Each event is one token; the end marker is not passed on. Events that
+// arrived together are passed on together.
 func relayEvents(body io.Reader, call core.Call, head *core.Head, silence *time.Timer, send func(core.Chunk) error) (core.Tokens, error) {
-	offset := call.ResumeOffset
-	reader := bufio.NewReaderSize(body, maxLine)
-	var event []byte
+	relay := &eventRelay{call: call, head: head, offset: call.ResumeOffset, send: send}
+	reader := readers.Get().(*bufio.Reader)
+	reader.Reset(body)
+	defer func() {
+		reader.Reset(nil)
+		readers.Put(reader)
+	}()
 	for {
 		line, err := reader.ReadSlice('\n')
-		if err != nil {
-			return offset, &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: errors.Wrap(err, "read stream")}
-		}
-		silence.Reset(betweenTokensTimeout)
-		if bytes.HasPrefix(line, endMarker) {
-			if head != nil {
-				err = send(core.Chunk{Attempt: call.Attempt, Head: head, Offset: offset})
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			// What arrived whole before the break is part of the answer.
+			if failure := relay.flush(); failure != nil {
+				return relay.offset, failure
 			}
-			return offset, sendError(err)
+			return relay.offset, &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: errors.Wrap(err, "read stream")}
+		}
+		if !relay.long && bytes.HasPrefix(line, endMarker) {
+			return relay.offset, relay.flush()
 		}
-		event = append(event, line...)
-		if len(event) > maxEvent {
-			return offset, &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Err: errors.New("event over the limit")}
+		if err := relay.add(line, err == nil); err != nil {
+			return relay.offset, err
 		}
-		if len(bytes.TrimSpace(line)) != 0 {
+		if reader.Buffered() > 0 && len(relay.whole) < maxChunk {
 			continue
 		}
-		if bytes.HasPrefix(event, dataPrefix) {
-			offset++
-			chunk := core.Chunk{Attempt: call.Attempt, Head: head, Data: bytes.Clone(event), Offset: offset}
-			if err := send(chunk); err != nil {
-				return offset, sendError(err)
-			}
-			head = nil
+		silence.Reset(betweenTokensTimeout)
+		if len(relay.whole) == 0 {
+			continue
 		}
-		event = event[:0]
+		if err := relay.flush(); err != nil {
+			return relay.offset, err
+		}
+	}
+}
+
+// readers holds the buffers of streams that have ended.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
+// eventRelay collects the events of one answer.
+type eventRelay struct {
+	call core.Call
+	send func(core.Chunk) error
+	// head is nil once it was passed on.
+	head *core.Head
+	// offset is the number of tokens of the answer up to the end of whole.
+	offset core.Tokens
+	// whole holds events that are complete, partial the lines of the next one.
+	whole   []byte
+	partial []byte
+	// long is set while a line is put together from parts.
+	long bool
+}
+
+// add takes a line, or the part of a long line if ended is false.
+func (relay *eventRelay) add(line []byte, ended bool) error {
+	blank := ended && !relay.long && len(bytes.TrimSpace(line)) == 0
+	relay.long = !ended
+	relay.partial = append(relay.partial, line...)
+	if len(relay.partial) > maxEvent {
+		return &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Err: errors.New("event over the limit")}
+	}
+	if !blank {
+		return nil
+	}
+	if bytes.HasPrefix(relay.partial, dataPrefix) {
+		relay.offset++
+		relay.whole = append(relay.whole, relay.partial...)
+	}
+	relay.partial = relay.partial[:0]
+	return nil
+}
+
+// flush passes on what is complete. The receiver keeps the data.
+func (relay *eventRelay) flush() error {
+	if len(relay.whole) == 0 && relay.head == nil {
+		return nil
 	}
+	chunk := core.Chunk{Attempt: relay.call.Attempt, Head: relay.head, Data: relay.whole, Offset: relay.offset}
+	relay.head, relay.whole = nil, nil
+	return sendError(relay.send(chunk))
 }
 
 // sendError marks an answer that could not be passed on. The engine ran the call.
