--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -86,6 +86,7 @@
 	}
 	if strings.Contains(current.prompt.Text, CrashMarker) {
 		engine.exit(1)
+		engine.finish(current, "crashed")
 		return
 	}
 	if current.offset < current.prompt.Tokens {
--- a/standin/load/answer.go
+++ b/standin/load/answer.go
@@ -89,15 +89,15 @@
 	}
 	switch {
 	case response.StatusCode != http.StatusOK && next.kind != Call:
-		load.readProblem(content, record)
+		readProblem(content, record)
 	case next.kind == Call:
 		load.readCall(content, record)
 	case next.kind == Stream:
 		checkHeaders(header, next, record)
-		load.readStream(content, next, record)
+		readStream(content, next, record)
 	default:
 		checkHeaders(header, next, record)
-		load.readWhole(content, next, record)
+		readWhole(content, next, record)
 	}
 }
 
@@ -112,7 +112,7 @@
 	}
 }
 
-func (load *Load) readProblem(content io.Reader, record *Record) {
+func readProblem(content io.Reader, record *Record) {
 	text, err := io.ReadAll(content)
 	if err != nil {
 		record.Result, record.Detail = Lost, err.Error()
@@ -155,7 +155,7 @@
 	}
 }
 
-func (load *Load) readWhole(content io.Reader, next *plan, record *Record) {
+func readWhole(content io.Reader, next *plan, record *Record) {
 	var answer struct {
 		Choices []struct {
 			Message struct {
@@ -188,7 +188,8 @@
 	}
 }
 
-func (load *Load) readStream(content *bufio.Reader, next *plan, record *Record) {
+func readStream(body io.Reader, next *plan, record *Record) {
+	content := bufio.NewReader(body)
 	var text strings.Builder
 	var event string
 	for {
