--- /dev/null
+++ b/pkg/replica/lease/lease_test.go
@@ -0,0 +1,239 @@
+package lease
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+)
+
+// TestScripts guards against wrong decisions of the leader, the holder and the
+// pushes. Each file under testdata is one story with its times.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		script := &script{start: worldStart, now: worldStart, owners: make(Owners), holders: make(map[core.VMID]*Holder), pushes: NewPushes()}
+		datadriven.RunTest(t, path, script.run)
+	})
+}
+
+type script struct {
+	start   time.Time
+	now     time.Time
+	budget  Budget
+	leader  *Leader
+	owners  Owners
+	index   uint64
+	holders map[core.VMID]*Holder
+	pushes  *Pushes
+}
+
+func (script *script) run(t *testing.T, data *datadriven.TestData) string {
+	if data.HasArg("at") {
+		var text string
+		data.ScanArgs(t, "at", &text)
+		at, err := time.ParseDuration(text)
+		if err != nil {
+			return err.Error()
+		}
+		script.now = script.start.Add(at)
+	}
+	commands := map[string]func(*datadriven.TestData) string{
+		"leader": script.newLeader, "renew": script.renew, "tick": script.tick, "holder": script.newHolder,
+		"answer": script.answer, "held": script.held, "consent": script.consent, "keep": script.keep,
+		"takeover": script.takeover, "push": script.push,
+	}
+	command, ok := commands[data.Cmd]
+	if !ok {
+		return "unknown command " + data.Cmd
+	}
+	return command(data)
+}
+
+func arg(data *datadriven.TestData, key string) string {
+	for _, one := range data.CmdArgs {
+		if one.Key == key && len(one.Vals) > 0 {
+			return one.Vals[0]
+		}
+	}
+	return ""
+}
+
+func number(data *datadriven.TestData, key string) uint64 {
+	value, _ := strconv.ParseUint(arg(data, key), 0, 64)
+	return value
+}
+
+func memberNamed(text string) Member {
+	vm, incarnation, _ := strings.Cut(text, "/")
+	return Member{core.VMID(vm), core.Incarnation(incarnation)}
+}
+
+func groupNamed(text string) core.GroupID {
+	return core.GroupID{Zone: "a", Kind: core.EngineGroup, Name: text}
+}
+
+func (script *script) newLeader(data *datadriven.TestData) string {
+	script.budget = Budget{Loads: 8, Transit: int(number(data, "transit")), Zones: 2, GroupsPerZone: 2}
+	script.leader = NewLeader(script.now, script.budget)
+	return ""
+}
+
+func (script *script) renew(data *datadriven.TestData) string {
+	renewal := Renewal{
+		Member: memberNamed(arg(data, "vm")), Zone: "a", Sequence: number(data, "sequence"),
+		Answered: number(data, "answered"), Draining: data.HasArg("draining"),
+	}
+	for line := range strings.Lines(data.Input) {
+		var name string
+		var loads float64
+		var seen uint64
+		_, _ = fmt.Sscan(line, &name, &loads, &seen)
+		renewal.Demands = append(renewal.Demands, Demand{
+			Group: groupNamed(name), Wanted: true, Loads: core.LoadsPerSecond(loads), Seen: core.FencingToken(seen),
+		})
+	}
+	grant := script.leader.Renew(script.now, renewal, script.owners)
+	return fmt.Sprintf("granted=%v loads=%.2f transit=%d\n", grant.Granted, grant.Share.Loads, grant.Share.Transit)
+}
+
+func (script *script) tick(data *datadriven.TestData) string {
+	var out strings.Builder
+	assigns := script.leader.Tick(script.now, script.owners)
+	for _, assign := range assigns {
+		fmt.Fprintf(&out, "%s to %s/%s replacing %x\n", assign.Group, assign.VM, assign.Incarnation, assign.Previous)
+		if data.HasArg("apply") {
+			script.index++
+			token := core.FencingToken(script.index << ledger.FencingShift)
+			script.owners[assign.Group] = ledger.Ownership{Group: assign.Group, VM: assign.VM, Incarnation: assign.Incarnation, Token: token}
+		}
+	}
+	if len(assigns) == 0 {
+		return "nothing\n"
+	}
+	return out.String()
+}
+
+func (script *script) newHolder(data *datadriven.TestData) string {
+	self := memberNamed(arg(data, "vm"))
+	holder := NewHolder(script.now, self, Budget{Loads: 8, Transit: 8, Zones: 2, GroupsPerZone: 2})
+	for line := range strings.Lines(data.Input) {
+		holder.Meet(script.now, core.VMID(strings.TrimSpace(line)))
+	}
+	holder.Introduced(script.now, holder.Introduction(script.now), Replies{Granted: len(holder.Others())})
+	script.holders[self.VM] = holder
+	return ""
+}
+
+// answer sends a renewal at the time "sent" and applies its answer now.
+func (script *script) answer(data *datadriven.TestData) string {
+	holder := script.holders[core.VMID(arg(data, "vm"))]
+	sent, _ := time.ParseDuration(arg(data, "sent"))
+	sequence, _ := holder.Send(script.start.Add(sent))
+	if data.HasArg("sequence") {
+		sequence = number(data, "sequence")
+	}
+	directory := number(data, "directory")
+	if data.Input != "" {
+		holder.Learn(directory, script.ownersOf(data.Input))
+	}
+	answer := Answer{Sequence: sequence, Granted: !data.HasArg("refused"), Length: Length, Directory: directory}
+	return fmt.Sprintf("in time=%v\n", holder.Answered(script.now, answer))
+}
+
+func (script *script) ownersOf(text string) Owners {
+	owners := make(Owners)
+	for line := range strings.Lines(text) {
+		fields := strings.Fields(line)
+		member := memberNamed(fields[1])
+		token, _ := strconv.ParseUint(fields[2], 0, 64)
+		group := groupNamed(fields[0])
+		owners[group] = ledger.Ownership{Group: group, VM: member.VM, Incarnation: member.Incarnation, Token: core.FencingToken(token)}
+	}
+	return owners
+}
+
+func (script *script) held(data *datadriven.TestData) string {
+	var out strings.Builder
+	for _, name := range strings.Fields(arg(data, "vm")) {
+		holder := script.holders[core.VMID(name)]
+		token, until, held := holder.Held(script.now, groupNamed(arg(data, "group")))
+		fmt.Fprintf(&out, "%s held=%v", name, held)
+		if held {
+			fmt.Fprintf(&out, " token=%x until=%s", token, until.Sub(script.start))
+		}
+		fmt.Fprintf(&out, " loads=%.2f\n", holder.Share(script.now).Loads)
+	}
+	return out.String()
+}
+
+func (script *script) consent(data *datadriven.TestData) string {
+	request := Request{Member: memberNamed(arg(data, "from")), Length: ConsentLength, Groups: []core.GroupID{groupNamed(arg(data, "group"))}}
+	granted, reason := script.holders[core.VMID(arg(data, "vm"))].Consent(script.now, request)
+	return strings.TrimSpace(fmt.Sprintf("granted=%v %s", granted, reason)) + "\n"
+}
+
+// poll asks the other VMs of the script; those in "down" don't answer.
+func (script *script) poll(data *datadriven.TestData, round Round) Replies {
+	var replies Replies
+	down := strings.Fields(arg(data, "down"))
+	for _, other := range round.Others() {
+		holder, ok := script.holders[other]
+		if !ok || slices.Contains(down, string(other)) {
+			replies.Unreachable++
+			continue
+		}
+		if granted, _ := holder.Consent(script.now, round.Request); granted {
+			replies.Granted++
+		} else {
+			replies.Refused++
+		}
+	}
+	return replies
+}
+
+func (script *script) keep(data *datadriven.TestData) string {
+	holder := script.holders[core.VMID(arg(data, "vm"))]
+	round, ok := holder.Keep(script.now)
+	if !ok {
+		return "no round\n"
+	}
+	replies := script.poll(data, round)
+	holder.Kept(script.now, round, replies)
+	return fmt.Sprintf("granted=%d refused=%d unreachable=%d\n", replies.Granted, replies.Refused, replies.Unreachable)
+}
+
+func (script *script) takeover(data *datadriven.TestData) string {
+	holder := script.holders[core.VMID(arg(data, "vm"))]
+	round, ok := holder.Takeover(script.now, Demand{Group: groupNamed(arg(data, "group")), Wanted: true, ChecksFencing: data.HasArg("checks")})
+	if !ok {
+		return "refused\n"
+	}
+	return fmt.Sprintf("taken=%v\n", holder.TakenOver(script.now, round, script.poll(data, round)))
+}
+
+func (script *script) push(data *datadriven.TestData) string {
+	member := memberNamed(arg(data, "vm"))
+	has := Numbers{Config: core.ConfigNumber(number(data, "config")), Directory: number(data, "directory")}
+	switch arg(data, "do") {
+	case "changed":
+		script.pushes.Changed(has)
+	case "renewed":
+		script.pushes.Renewed(script.now, member, has)
+	case "acknowledged":
+		script.pushes.Acknowledged(member, has)
+	}
+	var out strings.Builder
+	for _, push := range script.pushes.Due(script.now) {
+		fmt.Fprintf(&out, "to %s from %d/%d\n", push.VM, push.Has.Config, push.Has.Directory)
+	}
+	if out.Len() == 0 {
+		return "none due\n"
+	}
+	return out.String()
+}
