--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -40,6 +40,11 @@
 	return true
 }
 
+// sent reports whether an attempt was sent.
+func (attempts *attempts) sent(id core.AttemptID) bool {
+	return attempts.entries[id].stage == attemptSent
+}
+
 // bar forbids an attempt that was not sent and reports whether it was sent before.
 func (attempts *attempts) bar(id core.AttemptID, now time.Time) (sent bool) {
 	attempts.clean(now)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -18,7 +18,7 @@
 var (
 	errWithdrawn = core.Refuse(core.CodeNoUpstream, "the attempt was withdrawn by its entry VM")
 	errAbandoned = core.Refuse(core.CodeDeadline, "the caller left before the call could be sent")
-	errKnown     = core.Refuse(core.CodeInProgress, "the attempt is already at this owner")
+	errKnown     = &core.Refusal{Code: core.CodeInProgress, Outcome: core.Unknown, Message: "the attempt is already at this owner"}
 )
 
 // Serve runs one call and passes its answer to send. It refuses with the code
@@ -44,7 +44,7 @@
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
 	group := owner.group(call.Group, token)
-	if _, waits := group.tickets[call.Attempt]; waits {
+	if _, waits := group.tickets[call.Attempt]; waits || owner.attempts.sent(call.Attempt) {
 		return group, nil
 	}
 	waits := &ticket{call: call, actions: make(chan scheduler.Action, 1)}
--- a/pkg/policy/scheduler/call.go
+++ b/pkg/policy/scheduler/call.go
@@ -8,9 +8,13 @@
 )
 
 // Enqueue takes in a call. It ends with one Refuse, or with one Send whose Start
-// succeeds; a Send whose Start fails is followed by another action for the call.
+// succeeds; a Send whose Start fails is followed by another action for the call. An
+// attempt that waits or runs already is not taken in again, and no action follows.
 func (scheduler *Scheduler) Enqueue(call Call, now time.Time) {
 	scheduler.expire(now)
+	if scheduler.knows(call.Attempt) {
+		return
+	}
 	if !scheduler.hasUpstream(now) {
 		scheduler.refuse(call.Attempt, refusedAbsent)
 		return
@@ -35,6 +39,14 @@
 	scheduler.place(now)
 }
 
+func (scheduler *Scheduler) knows(attempt core.AttemptID) bool {
+	if _, waits := scheduler.queue.Find(attempt); waits {
+		return true
+	}
+	_, runs := scheduler.attempts[attempt]
+	return runs
+}
+
 func (scheduler *Scheduler) observe(id int32, now time.Time) {
 	scheduler.arrivals.Add(now)
 	scheduler.names.Observe(id, now)
