--- a/internal/entry/audit.go
+++ b/internal/entry/audit.go
@@ -18,7 +18,8 @@
 
 func (run *run) auditEnd(end core.End) {
 	record := run.auditRecord(audit.EventEnd)
-	record.Outcome, record.Code, record.Whole, record.Tokens = end.Outcome.String(), end.Code, end.Whole, run.life.Tokens()
+	record.Outcome, record.Code = run.life.AttemptOutcome(end).String(), end.Code
+	record.Whole, record.Tokens = end.Whole, run.life.Tokens()
 	record.Upstream = end.Upstream
 	record.FirstByteMicros = run.pace.firstByte.Microseconds()
 	record.StallMicros = run.answer.Head.Stalled.Microseconds()
--- a/pkg/policy/attempt/decision.go
+++ b/pkg/policy/attempt/decision.go
@@ -49,12 +49,23 @@
 	return life.again(end, situation)
 }
 
-// learn keeps what the end proves about the run. A running attempt has run,
-// whatever its end says.
-func (life *Life) learn(end *core.End) {
-	if life.state == Running {
-		end.Outcome = core.Ran
+// AttemptOutcome returns what is known about the run of the current attempt, given
+// its end. A running attempt has run, whatever its end says, and an end without a
+// valid outcome proves nothing.
+func (life *Life) AttemptOutcome(end core.End) core.Outcome {
+	switch {
+	case life.state == Running || end.Whole || end.Outcome == core.Ran:
+		return core.Ran
+	case end.Outcome == core.NotRun:
+		return core.NotRun
+	default:
+		return core.Unknown
 	}
+}
+
+// learn keeps what the end proves about the run.
+func (life *Life) learn(end *core.End) {
+	end.Outcome = life.AttemptOutcome(*end)
 	switch end.Outcome {
 	case core.NotRun:
 		life.refused++
@@ -62,7 +73,6 @@
 	case core.Ran:
 		life.ran = true
 	default:
-		end.Outcome = core.Unknown
 		life.maybe = true
 	}
 	life.refused = 0
