--- a/internal/bench/path/cluster.go
+++ b/internal/bench/path/cluster.go
@@ -19,11 +19,13 @@
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/entry"
 	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/pool"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/admission"
+	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
@@ -127,7 +129,9 @@
 	upstreams, closeUpstreams := upstream.NewClient()
 	cluster.later(closeUpstreams)
 	state := fixed{self: name, book: newBook()}
-	owner := dispatch.New(state, upstreams, logger)
+	jobs, closeJobs := pool.New(0, 0)
+	cluster.later(closeJobs)
+	owner := dispatch.New(state, upstreams, jobs, scheduler.Config{}, logger)
 	owner.Announce(announcement(engine))
 	cluster.later(keepAnnouncing(owner, engine))
 	cluster.later(peer.Serve(listener, self, handler{owner: owner, recorder: recorder}, logger))
