Add the fault cases of the replicated state

Cause: lost disks, racing operators and restarts after many changes were not tried against running processes. Change: four cases; the load tool sends the calls of an earlier load again under their keys, so that a lost claim shows as a second run.

--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -104,6 +104,9 @@
 	start "$name" .bin/standin load --key "$caller_key" --seed $((seed * 100 + loads)) --out "$run_dir/$name.records" "${targets[@]}" "$@"
 }
 
+# replay NAME EARLIER sends the calls of an earlier load again, under the same keys.
+step_replay() { step_load "$1" --rate 200 --duration 60s --replay "$run_dir/$2.records"; }
+
 # await NAME SECONDS waits until a load has ended.
 step_await() {
 	local pid=${pids[$1]}
@@ -228,3 +231,116 @@
 	[ "$refused" = 0 ] || violation StoreRate "$refused loads were refused for the rate"
 	[ "$transit" -le "$1" ] || violation StoreTransit "$transit loads in transit, limit $1"
 }
+
+# repaired NAME SECONDS waits until both shards have taken the VM in as a replica
+# again. It paces the case; the checks do not rely on it.
+step_repaired() {
+	wait_for "$2" taken_in "$1" || violation Repair "$1 is not a replica again after $2 s"
+}
+
+taken_in() {
+	[ "$(cat "$run_dir"/vm-*.err | grep 'Changed the group of replicas' | grep -c "replica=\"\{0,1\}$1")" -ge 2 ]
+}
+
+# put_until_known VM NUMBER LIST sends a change of the plans until its answer is
+# known, each time through the next VM, and prints the status and the answer.
+put_until_known() {
+	local answer try place=0
+	for try in "${!vm_names[@]}"; do [ "${vm_names[$try]}" != "$1" ] || place=$try; done
+	for try in $(seq 60); do
+		answer=$(curl -sS --max-time 3 -w '%{http_code}' -X PUT -H 'Authorization: Bearer development' \
+			-d "{\"Replaces\":$2,\"Plans\":$3}" "http://${addresses[${vm_names[$place]}/operator]}/admin/v1/plans" 2>/dev/null | tr -d '\n') || true
+		case $answer in
+		*200 | *409 | *422) echo "${answer: -3} ${answer%???}" && return ;;
+		esac
+		place=$(((place + 1) % ${#vm_names[@]}))
+		sleep 0.2
+	done
+	echo "000 no answer"
+}
+
+# limited_plans RATE prints the plans with another rate, so that each differs.
+limited_plans() {
+	plans_list | sed "s/}]$/,\"MaxRequestsPerSecond\":$1}]/"
+}
+
+# accepted NUMBER prints the hash of the configuration with the number at a VM.
+accepted() {
+	curl -sS --max-time 5 -H 'Authorization: Bearer development' "http://${addresses[$1/operator]}/admin/v1/plans?number=$2" | tr -d '\n' | field Hash
+}
+
+# race ROUNDS VICTIM lets three operators change the plans with equal numbers. The
+# victim is killed after a third of the rounds and started again after two thirds.
+step_race() {
+	local rounds=$1 round operator hashes=() hash writers
+	for round in $(seq "$rounds"); do
+		[ "$round" != $((rounds / 3)) ] || { echo "         kill $2" && crash "$2"; }
+		[ "$round" != $((rounds * 2 / 3)) ] || { echo "         restart $2" && start_vm "$2"; }
+		writers=()
+		for operator in 1 2 3; do
+			put_until_known "${vm_names[$(between 0 $((${#vm_names[@]} - 1)))]}" "$list" "$(limited_plans $((round * 1000 + operator)))" >"$run_dir/operator-$operator" &
+			writers+=($!)
+		done
+		wait "${writers[@]}"
+		race_won "$round" || return 0
+		hash=$(grep -h '^200 ' "$run_dir"/operator-? | field Hash)
+		list=$((list + 1))
+		hashes[list]=$hash
+	done
+	race_kept hashes
+}
+
+# race_won ROUND needs exactly one of three answers to be an acceptance.
+race_won() {
+	local won lost
+	won=$(cat "$run_dir"/operator-? | grep -c '^200 ') lost=$(cat "$run_dir"/operator-? | grep -c '^409 ')
+	[ "$won" = 1 ] && [ "$lost" = 2 ] && return
+	violation Race "round $1: $won accepted, $lost conflicts: $(cat "$run_dir"/operator-? | cut -c1-200 | tr '\n' ' ')"
+	return 1
+}
+
+# race_kept HASHES needs every VM to show each accepted change under its number.
+race_kept() {
+	local -n kept=$1
+	local vm number found compared=0
+	for vm in "${vm_names[@]}"; do
+		wait_for 12 at_number "$vm" "$list" || violation InForce "$vm is at $(list_number "$vm"), accepted $list"
+		for number in "${!kept[@]}"; do
+			found=$(accepted "$vm" "$number")
+			compared=$((compared + 1))
+			[ "$found" = "${kept[$number]}" ] || violation Accepted "$vm shows $found for $number, accepted ${kept[$number]}"
+		done
+	done
+	echo "accepted changes compared $compared"
+}
+
+# changes COUNT VM makes accepted changes, one after the other, and keeps some hashes.
+declare -a kept_hashes=()
+step_changes() {
+	local count=$1 vm=$2 number answer
+	for number in $(seq "$count"); do
+		answer=$(put_until_known "$vm" "$list" "$(limited_plans $((100000 + number)))")
+		[ "${answer%% *}" = 200 ] || { violation Change "change $number: $answer" && return; }
+		list=$((list + 1))
+		[ $((number % 100)) != 0 ] || kept_hashes[list]=$(field Hash <<<"$answer")
+	done
+	echo "changes accepted $count, number $list"
+}
+
+# kept needs every VM to show the kept changes.
+step_kept() { race_kept kept_hashes; }
+
+# restart_all [SECONDS] kills all VMs and starts them again.
+step_restart_all() {
+	local vm begin
+	for vm in "${vm_names[@]}"; do crash "$vm"; done
+	begin=$(now_micros)
+	for vm in "${vm_names[@]}"; do start_vm "$vm"; done
+	for vm in "${vm_names[@]}"; do wait_for "$1" ready "$vm" || violation Ready "$vm is not ready after $1 s"; done
+	echo "ready again after $((($(now_micros) - begin) / 1000)) ms, bound $1 s"
+}
+
+# split PAIR NAME NAME chooses the two parts of a pair.
+step_split() {
+	chosen[$2]=${1%,*} chosen[$3]=${1#*,}
+}
--- a/standin/cmd/standin/load.go
+++ b/standin/cmd/standin/load.go
@@ -17,7 +17,7 @@
 var errViolations = errors.New("invariants were violated")
 
 func loadCommand() command {
-	out, rate, tokens, name := "records.jsonl", 50.0, 20, "billing"
+	out, rate, tokens, name, replay := "records.jsonl", 50.0, 20, "billing", ""
 	versions := []string{}
 	settings := load.Settings{
 		Duration: 5 * time.Second, Seed: 1, Adapters: 40, AdapterPrefix: "adapter-", Skew: 1.2,
@@ -45,7 +45,14 @@
 	sub.Int(&settings.Resends, "", "resends", "times that a call with a lost answer is sent again")
 	sub.Bool(&settings.ResendAll, "", "resend-all", "send every request again that was not answered")
 	sub.Duration(&settings.Timeout, "", "timeout", "time limit of one send")
+	sub.String(&replay, "", "replay", "records of an earlier load, whose calls are sent again")
 	return command{sub: sub, run: func(ctx context.Context) error {
+		if replay != "" {
+			var err error
+			if settings.Replay, err = load.ReadRecords(replay); err != nil {
+				return err
+			}
+		}
 		settings.Rate, settings.Tokens, settings.Service = core.RequestsPerSecond(rate), core.Tokens(tokens), core.ServiceID(name)
 		for _, version := range versions {
 			settings.Versions = append(settings.Versions, core.Version(version))
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -47,6 +47,9 @@
 	ResendAll bool
 	// Timeout bounds one send.
 	Timeout time.Duration
+	// Replay holds the records of an earlier load: its calls are sent again under
+	// their keys, and nothing else.
+	Replay []Record
 }
 
 // plan is one request before it is sent.
@@ -104,6 +107,7 @@
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	var failure errorOnce
+	replay := load.replay()
 	for number := 0; load.settings.Requests == 0 || number < load.settings.Requests; number++ {
 		select {
 		case <-ctx.Done():
@@ -112,6 +116,12 @@
 			return failure.get()
 		case <-ticker.C:
 			next := load.plan(number)
+			if load.settings.Replay != nil {
+				if number >= len(replay) {
+					return failure.get()
+				}
+				next = replay[number]
+			}
 			requests.Go(func() { failure.set(load.recorder.add(load.perform(context.WithoutCancel(ctx), next))) })
 		}
 	}
@@ -140,6 +150,21 @@
 	return once.err
 }
 
+// replay plans the calls of an earlier load once more.
+func (load *Load) replay() []*plan {
+	var plans []*plan
+	for _, earlier := range load.settings.Replay {
+		if earlier.Kind != Call {
+			continue
+		}
+		again := Record{ID: earlier.ID, Kind: Call, Key: earlier.Key, Content: earlier.Content}
+		// What the first load got proves that an earlier send may have run.
+		again.Uncertain = earlier.Outcome != core.NotRun.String() || earlier.Uncertain
+		plans = append(plans, &plan{id: earlier.ID, kind: Call, key: earlier.Key, recorded: again})
+	}
+	return plans
+}
+
 // plan draws the next request. Each has its own content, so that a journal shows
 // which request ran, behind a prefix shared by the adapter's requests.
 func (load *Load) plan(number int) *plan {
