--- a/internal/host/queue.go
+++ b/internal/host/queue.go
@@ -18,6 +18,8 @@
 type proposal struct {
 	data []byte
 	term raft.Term
+	// within is the only term in which the command may enter the log; zero for any.
+	within raft.Term
 	// done takes one answer and never blocks.
 	done chan answer
 }
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -130,7 +130,7 @@
 	if err != nil {
 		return ledger.Result{}, errors.Join(ErrNotCommitted, err)
 	}
-	return replica.commit(ctx, data)
+	return replica.commit(ctx, data, 0)
 }
 
 // reduce brings a change of a list into the form that is committed. The state must
@@ -148,12 +148,12 @@
 	return reduced, result, settled, nil
 }
 
-func (replica *Replica) commit(ctx context.Context, data []byte) (ledger.Result, error) {
+func (replica *Replica) commit(ctx context.Context, data []byte, within raft.Term) (ledger.Result, error) {
 	if replica.pending.Add(1) > int64(replica.config.MaxPending) {
 		replica.pending.Add(-1)
 		return ledger.Result{}, ErrOverloaded
 	}
-	proposal := &proposal{data: data, done: make(chan answer, 1)}
+	proposal := &proposal{data: data, within: within, done: make(chan answer, 1)}
 	if !replica.queue.put(func(waiting *work) { waiting.proposals = append(waiting.proposals, proposal) }) {
 		replica.pending.Add(-1)
 		return ledger.Result{}, ErrNotLeader
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -150,6 +150,10 @@
 }
 
 func (worker *worker) propose(proposal *proposal) {
+	if proposal.within != 0 && proposal.within != worker.node.Status().Term {
+		worker.replica.settle(proposal, answer{err: ErrNotLeader})
+		return
+	}
 	index, term, err := worker.node.Propose(proposal.data)
 	if err != nil {
 		worker.replica.settle(proposal, answer{err: ErrNotLeader})
--- a/pkg/replica/lease/consent.go
+++ b/pkg/replica/lease/consent.go
@@ -199,7 +199,7 @@
 
 func (holder *Holder) round(now time.Time, tokens map[core.GroupID]core.FencingToken) Round {
 	request := Request{Member: holder.self, Length: ConsentLength}
-	for _, group := range slices.SortedFunc(maps.Keys(tokens), compareGroups) {
+	for _, group := range slices.SortedFunc(maps.Keys(tokens), CompareGroups) {
 		request.Groups = append(request.Groups, group)
 		request.Tokens = append(request.Tokens, tokens[group])
 	}
--- a/pkg/replica/lease/leader.go
+++ b/pkg/replica/lease/leader.go
@@ -240,10 +240,11 @@
 			}
 		}
 	}
-	return slices.SortedFunc(maps.Keys(known), compareGroups)
+	return slices.SortedFunc(maps.Keys(known), CompareGroups)
 }
 
-func compareGroups(a, b core.GroupID) int {
+// CompareGroups orders groups by zone, kind and name.
+func CompareGroups(a, b core.GroupID) int {
 	return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
 }
 
--- a/pkg/replica/lease/push.go
+++ b/pkg/replica/lease/push.go
@@ -57,8 +57,9 @@
 }
 
 // Renewed records the numbers that a VM reports with its renewal. They are the
-// VM's own word and replace what is known, since a VM without a disk may have
-// dropped a damaged list.
+// VM's own word and replace what is known, since a VM may report zero to get whole
+// lists. The answer carries what it misses, so no push follows until the next
+// change; if the answer is lost, the next renewal has another.
 func (pushes *Pushes) Renewed(now time.Time, member Member, has Numbers) {
 	state, ok := pushes.vms[member]
 	if !ok {
@@ -67,6 +68,8 @@
 	}
 	state.has = has
 	state.heard = now
+	state.tried = pushes.newest
+	state.attempts = pushAttempts
 }
 
 // Acknowledged records the answer to a push.
@@ -115,16 +118,3 @@
 	state.last = now
 	return true
 }
-
-// Behind returns the number of VMs that have renewed within the length of a lease
-// and miss the configuration number.
-func (pushes *Pushes) Behind(now time.Time, number core.ConfigNumber) []Member {
-	var behind []Member
-	for member, state := range pushes.vms {
-		if now.Sub(state.heard) <= Length && state.has.Config < number {
-			behind = append(behind, member)
-		}
-	}
-	slices.SortFunc(behind, compareMembers)
-	return behind
-}
