Run sessions, leases and shares in the VM

Cause: ownership followed the settings, so the loss of an owner was not survived. Change: sessions with the leader, lists by push and renewal, budget shares from the lease, the hand-over of groups in the drain, status of all VMs and the zones that have not confirmed a change. ModelsPerZone fixes the minimum shares. Ruled out: asking only the leader for confirmed zones, since the leader knows less of VMs that just lost it.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -15,6 +15,7 @@
 	token     core.FencingToken
 	scheduler *scheduler.Scheduler
 	addresses map[core.UpstreamID]string
+	announced map[core.UpstreamID]Announced
 	tickets   map[core.AttemptID]*ticket
 	actions   []scheduler.Action
 	timer     *time.Timer
@@ -43,7 +44,8 @@
 	if !known {
 		entry = &group{
 			id: id, scheduler: scheduler.New(owner.config, time.Now()),
-			addresses: make(map[core.UpstreamID]string), tickets: make(map[core.AttemptID]*ticket),
+			addresses: make(map[core.UpstreamID]string),
+			announced: make(map[core.UpstreamID]Announced), tickets: make(map[core.AttemptID]*ticket),
 			metrics: newGroupMetrics(id),
 		}
 		owner.groups[id] = entry
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -78,6 +78,7 @@
 	defer owner.mutex.Unlock()
 	group := owner.group(announcement.Group, token)
 	now := time.Now()
+	group.announced[announcement.Upstream] = Announced{Announcement: announcement, At: now}
 	if ejected {
 		group.scheduler.Lose(announcement.Upstream, announcement.Incarnation, now)
 	} else {
--- a/internal/session/node.go
+++ b/internal/session/node.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -194,6 +195,15 @@
 	return node.holder.Owner(now, group)
 }
 
+// Owners returns the owners of all groups as the leader last told, sorted by group.
+func (node *Node) Owners() []ledger.Ownership {
+	node.lock.Lock()
+	defer node.lock.Unlock()
+	return slices.SortedFunc(maps.Values(node.holder.Owners()), func(a, b ledger.Ownership) int {
+		return cmp.Compare(a.Group.String(), b.Group.String())
+	})
+}
+
 // Groups returns the groups of a kind and name, the own zone's first.
 func (node *Node) Groups(now time.Time, kind core.GroupKind, name string) []core.GroupID {
 	node.lock.Lock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -300,6 +300,11 @@
 	return session.node.Owner(time.Now(), group)
 }
 
+// Owners returns the owners of all groups as the leader last told, sorted by group.
+func (session *Session) Owners() []ledger.Ownership {
+	return session.node.Owners()
+}
+
 // Groups returns the groups of a kind and name, the own zone's first.
 func (session *Session) Groups(kind core.GroupKind, name string) []core.GroupID {
 	return session.node.Groups(time.Now(), kind, name)
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -164,6 +164,7 @@
 	refuse(settings.StallWeight > 1, "StallWeight", "is not in 0..1")
 	refuse(settings.StoreLoadsPerSecond <= 0, "StoreLoadsPerSecond", "is not above 0")
 	refuse(settings.StoreTransits < 1, "StoreTransits", "is not above 0")
+	refuse(settings.ModelsPerZone < 1, "ModelsPerZone", "is below 1")
 	refuse(settings.StoreTransitLimit < settings.StoreTransits, "StoreTransitLimit", "is below StoreTransits")
 	refuse(settings.AdapterLoadMillis < 1, "AdapterLoadMillis", "is not above 0")
 	refuse(settings.DefaultDeadlineMillis <= settings.AdapterLoadMillis, "DefaultDeadlineMillis", "is not above AdapterLoadMillis, so no request could wait for a load")
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -27,7 +27,10 @@
 	StoreLoadsPerSecond core.LoadsPerSecond
 	StoreTransits       int
 	StoreTransitLimit   int
-	AdapterLoadMillis   Millis
+	// ModelsPerZone is the largest number of base models whose engines run in one
+	// zone. The store's limit is split into minimum shares by it.
+	ModelsPerZone     int
+	AdapterLoadMillis Millis
 
 	DefaultDeadlineMillis Millis
 	MaxBodyBytes          core.Bytes
--- a/internal/vm/forward.go
+++ b/internal/vm/forward.go
@@ -31,9 +31,12 @@
 type forwarding struct {
 	owner       *dispatch.Owner
 	incarnation core.Incarnation
+	inFlight    inFlight
 }
 
-func (forwarding forwarding) forward(ctx context.Context, message *wire.Forward, send func(*wire.Response) error) {
+func (forwarding *forwarding) forward(ctx context.Context, message *wire.Forward, send func(*wire.Response) error) {
+	forwarding.inFlight.enter()
+	defer forwarding.inFlight.leave()
 	end := forwarding.owner.Serve(ctx, peer.CallOf(message), func(chunk core.Chunk) error {
 		return send(&wire.Response{Body: &wire.Response_Chunk{Chunk: peer.ChunkMessage(chunk)}})
 	})
@@ -42,7 +45,7 @@
 
 // query bars an attempt that was not sent. It vouches only for attempts that were
 // forwarded to this run of the VM.
-func (forwarding forwarding) query(message *wire.AttemptQuery) *wire.AttemptState {
+func (forwarding *forwarding) query(message *wire.AttemptQuery) *wire.AttemptState {
 	state := &wire.AttemptState{Attempt: message.Attempt}
 	if message.Incarnation != string(forwarding.incarnation) {
 		return state
--- a/internal/vm/handler.go
+++ b/internal/vm/handler.go
@@ -8,6 +8,7 @@
 	"github.com/dandelionring/dandelionring/internal/auditor"
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/session"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -18,10 +19,12 @@
 
 // handler answers the requests of other VMs.
 type handler struct {
-	forwarding forwarding
+	forwarding *forwarding
 	registry   registry
+	session    *session.Session
 	auditor    *auditor.Auditor
 	archive    archive
+	info       info
 	// host is nil on a VM without a disk.
 	host *host.Host
 }
@@ -53,6 +56,12 @@
 		return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
 	case *wire.Request_ConfigFetch:
 		return handler.configPage(body.ConfigFetch)
+	case *wire.Request_VmInfo:
+		result := handler.info.answer(ctx, body.VmInfo)
+		return &wire.Response{Body: &wire.Response_VmInfoResult{VmInfoResult: result}}, nil
+	}
+	if response, ok := handler.session.Handle(ctx, request); ok {
+		return response, nil
 	}
 	if handler.host != nil {
 		if response, ok := handler.host.Handle(ctx, request); ok {
--- a/internal/vm/registry.go
+++ b/internal/vm/registry.go
@@ -16,6 +16,8 @@
 // owners tells which VM owns a group.
 type owners interface {
 	Owner(group core.GroupID) (core.VMID, bool)
+	// Announced makes the leader give the upstream's group an owner.
+	Announced(announcement core.Announcement)
 }
 
 // registry takes the announcements of upstreams to the owners of their groups.
@@ -29,6 +31,7 @@
 // Announce takes an announcement to the owner of its group. It returns an error if the
 // group has no owner yet or the owner cannot be reached.
 func (registry registry) Announce(ctx context.Context, announcement core.Announcement) (core.VMID, error) {
+	registry.owners.Announced(announcement)
 	owner, ok := registry.owners.Owner(announcement.Group)
 	if !ok {
 		return "", errors.Errorf("group %s has no owner yet", announcement.Group)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionring/dandelionring/internal/operator"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/pool"
+	"github.com/dandelionring/dandelionring/internal/session"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -42,10 +43,12 @@
 	client   *peer.Client
 	jobs     *pool.Pool
 	durable  durable
-	session  *first
+	session  *session.Session
 	owner    *dispatch.Owner
 	entry    *entry.Entry
 	registry registry
+	// forwarding serves the calls of other entry VMs.
+	forwarding *forwarding
 
 	// ready is false before the VM can serve and while it drains.
 	ready atomic.Bool
@@ -115,9 +118,10 @@
 	jobs, closeJobs := pool.New(max(vm.settings.Workers, minWorkers), 0)
 	vm.jobs = jobs
 	vm.closers.add(closeJobs)
-	vm.session = newFirst(vm.settings, vm.durable.archive, vm.durable.commands)
+	vm.session = vm.newSession()
 	vm.owner = dispatch.New(vm.session, upstreams, vm.jobs, vm.schedulerConfig(), vm.logs.Part("dispatch"))
 	vm.registry = registry{self: vm.settings.VM, owners: vm.session, owner: vm.owner, client: vm.client}
+	vm.forwarding = &forwarding{owner: vm.owner, incarnation: vm.self.Incarnation}
 	vm.entry = entry.New(entry.Parts{
 		VM:              vm.settings.VM,
 		Zone:            vm.settings.Zone,
@@ -139,17 +143,19 @@
 // serve answers until the context ends, and then drains.
 func (vm *vm) serve(ctx context.Context) error {
 	handler := handler{
-		forwarding: forwarding{owner: vm.owner, incarnation: vm.self.Incarnation},
+		forwarding: vm.forwarding,
 		registry:   vm.registry,
+		session:    vm.session,
 		auditor:    vm.durable.auditor,
 		archive:    vm.durable.archive,
+		info:       info{vm: vm},
 		host:       vm.durable.host,
 	}
 	closePeers := peer.Serve(vm.open.peer, vm.self, handler, vm.logs.Part("peer"))
 	vm.closers.add(closePeers)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	go vm.session.run(background)
+	vm.background(background)
 	servers, err := vm.serveHTTP()
 	if err != nil {
 		return err
