Count a request once in the burn report, by its last attempt

Cause: a request that was refused and tried again counted as several requests, and log lines held the source files of each error. Ruled out: counting only whole attempts, which would hide a lost last attempt. Conclusion: the program switches error traces off at its start.

--- a/cmd/dandelionring/main.go
+++ b/cmd/dandelionring/main.go
@@ -15,6 +15,7 @@
 var version = "development"
 
 func main() {
+	errors.DisableTrace() // log lines hold the chain of an error without source files
 	os.Exit(run(os.Args[1:]))
 }
 
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -32,6 +32,7 @@
 		is.NoErr(err)
 		for range count {
 			record := audit.Record{Event: audit.EventEnd, Plan: "gold", Customer: "one", Zone: "a", Outcome: "ran", Whole: true}
+			record.Request = core.RequestID(fmt.Sprintf("r%d", len(result)))
 			record.Attempt = core.AttemptID(fmt.Sprintf("t%d", len(result)))
 			for _, word := range words[1:] {
 				apply(t, &record, word)
@@ -66,6 +67,8 @@
 		record.Whole, record.Outcome, record.Code = false, "unknown", core.RefusalCode(value)
 	case "refused":
 		record.Whole, record.Outcome, record.Code = false, "not_run", core.RefusalCode(value)
+	case "request":
+		record.Request = core.RequestID(value)
 	case "start":
 		record.Event = audit.EventStart
 	default:
--- a/pkg/burn/report.go
+++ b/pkg/burn/report.go
@@ -82,7 +82,7 @@
 		}
 		tally.add(record)
 	}
-	tally.addUnfinished()
+	tally.judgeAll()
 	return tally.report(), nil
 }
 
@@ -91,14 +91,16 @@
 	now    time.Time
 	plans  map[core.PlanID]core.Plan
 	counts map[core.PlanID]map[Objective]*counts
-	starts map[core.AttemptID]audit.Record
-	ended  map[core.AttemptID]bool
+	// starts and ends hold the last start and the last end of each request: what a
+	// caller got is the end of the last attempt.
+	starts map[core.RequestID]audit.Record
+	ends   map[core.RequestID]audit.Record
 }
 
 func newTally(options Options) *tally {
 	tally := &tally{
 		now: options.Now, plans: make(map[core.PlanID]core.Plan), counts: make(map[core.PlanID]map[Objective]*counts),
-		starts: make(map[core.AttemptID]audit.Record), ended: make(map[core.AttemptID]bool),
+		starts: make(map[core.RequestID]audit.Record), ends: make(map[core.RequestID]audit.Record),
 	}
 	for _, plan := range options.Plans {
 		tally.plans[plan.Plan] = plan
@@ -124,17 +126,18 @@
 	if age < 0 || age >= Windows[len(Windows)-1] {
 		return
 	}
-	switch record.Event {
-	case audit.EventStart:
-		if !tally.ended[record.Attempt] {
-			tally.starts[record.Attempt] = record
-		}
-		return
-	case audit.EventEnd:
-		delete(tally.starts, record.Attempt)
-		tally.ended[record.Attempt] = true
+	if record.Event == audit.EventStart {
+		keepLast(tally.starts, record)
+	} else {
+		keepLast(tally.ends, record)
+	}
+}
+
+func keepLast(records map[core.RequestID]audit.Record, record audit.Record) {
+	last, ok := records[record.Request]
+	if !ok || cmp.Or(cmp.Compare(record.At, last.At), cmp.Compare(record.Sequence, last.Sequence)) > 0 {
+		records[record.Request] = record
 	}
-	tally.judge(record, age)
 }
 
 func (tally *tally) judge(end audit.Record, age time.Duration) {
@@ -150,17 +153,24 @@
 	}
 }
 
-// addUnfinished counts attempts that should have ended: their VM was lost, and the
-// caller has no whole answer and no truthful refusal from it.
-func (tally *tally) addUnfinished() {
-	for _, start := range tally.starts {
-		age := tally.now.Sub(time.UnixMilli(start.At))
-		if age < noEndAfter {
+// judgeAll judges each request by its last attempt. An attempt that should have
+// ended has lost its VM, and its caller got no whole answer and no truthful refusal.
+func (tally *tally) judgeAll() {
+	for request, start := range tally.starts {
+		end, ok := tally.ends[request]
+		if ok && (end.Attempt == start.Attempt || end.At >= start.At) {
+			continue
+		}
+		delete(tally.ends, request)
+		if tally.now.Sub(time.UnixMilli(start.At)) < noEndAfter {
 			continue
 		}
 		start.Event, start.Whole = audit.EventEnd, false
 		start.Outcome, start.Code = core.Unknown.String(), "no_end"
-		tally.judge(start, age)
+		tally.ends[request] = start
+	}
+	for _, end := range tally.ends {
+		tally.judge(end, tally.now.Sub(time.UnixMilli(end.At)))
 	}
 }
 
