--- a/internal/vm/registry.go
+++ b/internal/vm/registry.go
@@ -10,11 +10,14 @@
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/routing"
 )
 
 // owners tells which VM owns a group.
 type owners interface {
 	Owner(group core.GroupID) (core.VMID, bool)
+	// Announced makes the leader give the upstream's group an owner.
+	Announced(announcement core.Announcement)
 }
 
 // registry takes the announcements of upstreams to the owners of their groups.
@@ -28,6 +31,7 @@
 // Announce takes an announcement to the owner of its group. It returns an error if the
 // group has no owner yet or the owner cannot be reached.
 func (registry registry) Announce(ctx context.Context, announcement core.Announcement) (core.VMID, error) {
+	registry.owners.Announced(announcement)
 	owner, ok := registry.owners.Owner(announcement.Group)
 	if !ok {
 		return "", errors.Errorf("group %s has no owner yet", announcement.Group)
@@ -49,8 +53,15 @@
 	return owner, nil
 }
 
-// CacheEvents drops the events.
-func (registry registry) CacheEvents(core.UpstreamID, core.Incarnation, []upstream.CacheEvent) {}
+// CacheEvents takes events to the groups that this VM owns. Those of an engine whose
+// group another VM owns are lost, which the routing allows for.
+func (registry registry) CacheEvents(id core.UpstreamID, incarnation core.Incarnation, events []upstream.CacheEvent) {
+	list := make([]routing.CacheEvent, len(events))
+	for i, event := range events {
+		list[i] = routing.CacheEvent(event)
+	}
+	registry.owner.CacheEvents(id, incarnation, list)
+}
 
 // accept takes an announcement that another VM passed on. It refuses with a reason if
 // this VM does not own the group.
