Measure the distribution of configuration

Cause: the choice of push with catch-up at the renewal needed a figure. The leader looks only at the members with a leased share. Ruled out: an introduction to every VM of the zone four times a second while one is down (it would cost 25 KB/s a node); consent rounds while a right still lasts 1.25 s.

--- /dev/null
+++ b/internal/bench/config/figure.go
@@ -0,0 +1,12 @@
+package config
+
+import (
+	"math"
+
+	"github.com/dandelionring/dandelionring/internal/bench/policy"
+)
+
+// figure returns a figure without a bound.
+func figure(name string, value float64, unit, beside string) policy.Figure {
+	return policy.Figure{Name: name, Value: value, Unit: unit, Bound: math.NaN(), Beside: beside}
+}
--- a/internal/session/authority.go
+++ b/internal/session/authority.go
@@ -25,11 +25,11 @@
 }
 
 // NewAuthority returns the table of a term that starts now.
-func NewAuthority(now time.Time, self core.VMID, term uint64, budget lease.Budget) *Authority {
+func NewAuthority(now time.Time, self core.VMID, term uint64, budget lease.Budget, techniques lease.Techniques) *Authority {
 	return &Authority{
 		self: self, term: term,
 		table:     lease.NewLeader(now, budget),
-		pushes:    lease.NewPushes(),
+		pushes:    lease.NewPushes(techniques),
 		directory: &wire.Directory{},
 	}
 }
@@ -97,8 +97,11 @@
 	authority.observe(reading)
 	result := &wire.RenewResult{
 		Leader: true, LeaderVm: string(authority.self), Sequence: message.GetSequence(),
-		ConfigNumber: uint64(reading.numbers.Config), Delta: reading.delta,
-		DirectoryNumber: authority.directory.GetNumber(), Directory: authority.newer(message.GetDirectoryNumber()),
+		ConfigNumber: uint64(reading.numbers.Config), DirectoryNumber: authority.directory.GetNumber(),
+	}
+	if authority.pushes.CatchesUp() {
+		result.Delta = reading.delta
+		result.Directory = authority.newer(message.GetDirectoryNumber())
 	}
 	if grant.Granted {
 		result.LeaseMillis = lease.Length.Milliseconds()
--- a/internal/session/leader.go
+++ b/internal/session/leader.go
@@ -85,7 +85,7 @@
 		return nil
 	}
 	if leader.authority == nil || leader.authority.term != uint64(term) {
-		leader.authority = NewAuthority(now, leader.self, uint64(term), leader.budget)
+		leader.authority = NewAuthority(now, leader.self, uint64(term), leader.budget, lease.Techniques{})
 		leader.logger.Info("Leading the sessions.", "term", term)
 	}
 	return leader.authority
--- a/internal/session/round.go
+++ b/internal/session/round.go
@@ -38,9 +38,8 @@
 	node.lock.Lock()
 	defer node.lock.Unlock()
 	var rounds []Round
-	if node.holder.Greeting() {
-		round := node.holder.Introduction(now)
-		rounds = append(rounds, Round{round, func(now time.Time, replies lease.Replies) { node.holder.Introduced(now, round, replies) }})
+	if round, ok := node.holder.Introduction(now); ok {
+		rounds = append(rounds, Round{round, node.holder.Introduced})
 	}
 	if round, ok := node.holder.Keep(now); ok {
 		rounds = append(rounds, Round{round, func(now time.Time, replies lease.Replies) { node.holder.Kept(now, round, replies) }})
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -234,10 +234,10 @@
 	}
 	calls.Wait()
 	var replies lease.Replies
-	for i := range others {
+	for i, vm := range others {
 		switch {
 		case granted[i]:
-			replies.Granted++
+			replies.Granted = append(replies.Granted, vm)
 		case refused[i]:
 			replies.Refused++
 		default:
--- a/pkg/replica/lease/consent.go
+++ b/pkg/replica/lease/consent.go
@@ -11,13 +11,13 @@
 
 // consent is the state of a VM in its zone while the leader can't be reached.
 type consent struct {
-	// others are the other VMs of the zone that this VM has heard of.
+	// others are the other VMs of the zone; true if they have heard of this VM.
 	others map[core.VMID]bool
-	// known is set when every other VM has heard of this one, greeted also when
-	// those that haven't count as down.
-	known    bool
+	// greeted is set when every other VM has heard of this one or counts as down.
 	greeted  bool
 	greeting time.Time
+	// introduced is the time of the last introduction.
+	introduced time.Time
 	// barred is the time until which the VM accepts only the ownerships in kept.
 	barred time.Time
 	kept   map[core.GroupID]core.FencingToken
@@ -73,12 +73,11 @@
 // Meet adds a VM of the same zone to those whose consent is needed. This VM must
 // introduce itself to it before it accepts another ownership.
 func (holder *Holder) Meet(now time.Time, vm core.VMID) {
-	if vm == holder.self.VM || holder.consent.others[vm] {
+	if _, known := holder.consent.others[vm]; known || vm == holder.self.VM {
 		return
 	}
 	holder.consent.kept = holder.Holding(now)
-	holder.consent.others[vm] = true
-	holder.consent.known = false
+	holder.consent.others[vm] = false
 	holder.consent.greeted = false
 	holder.consent.greeting = now.Add(Length + Margin)
 }
@@ -88,18 +87,39 @@
 	return slices.Sorted(maps.Keys(holder.consent.others))
 }
 
-// Greeting reports whether the VM still has to introduce itself to others of its
-// zone. It accepts no ownership before: an owner that goes on by consent must
-// know whom to ask.
-func (holder *Holder) Greeting() bool {
-	return !holder.consent.known
+// strangers returns the other VMs that have not heard of this one.
+func (holder *Holder) strangers() []core.VMID {
+	var strangers []core.VMID
+	for _, vm := range holder.Others() {
+		if !holder.consent.others[vm] {
+			strangers = append(strangers, vm)
+		}
+	}
+	return strangers
+}
+
+// greetAgain is the time between two introductions to VMs that count as down.
+const greetAgain = 5 * time.Second
+
+// Introduction returns the round that introduces this VM to those of its zone that
+// have not heard of it, and false if there is nothing to do now. The VM accepts no
+// ownership before: an owner that goes on by consent must know whom to ask.
+func (holder *Holder) Introduction(now time.Time) (Round, bool) {
+	round := Round{Request: Request{Member: holder.self, Length: ConsentLength}, asked: now, others: holder.strangers()}
+	if holder.consent.greeted && (len(round.others) == 0 || now.Sub(holder.consent.introduced) < greetAgain) {
+		return Round{}, false
+	}
+	holder.consent.introduced = now
+	return round, true
 }
 
-// greeted records one round of introductions that ends now. A VM that could not
-// be reached for lease and margin counts as down.
-func (holder *Holder) greeted(now time.Time, all bool) {
-	holder.consent.known = holder.consent.known || all
-	if holder.consent.greeted || !all && now.Before(holder.consent.greeting) {
+// Introduced applies the replies to an Introduction round. A VM that could not be
+// reached for lease and margin counts as down.
+func (holder *Holder) Introduced(now time.Time, replies Replies) {
+	for _, vm := range replies.Granted {
+		holder.consent.others[vm] = true
+	}
+	if holder.consent.greeted || len(holder.strangers()) > 0 && now.Before(holder.consent.greeting) {
 		return
 	}
 	holder.consent.greeted = true
@@ -175,22 +195,28 @@
 
 // Replies are the answers to a round.
 type Replies struct {
-	Granted     int
+	Granted     []core.VMID
 	Refused     int
 	Unreachable int
 }
 
+// keepAhead is the rest of a right at which it is extended. It leaves time for four
+// rounds, and one round a second if all succeed.
+const keepAhead = 1250 * time.Millisecond
+
 // Keep returns the round that asks for consent to the groups held now. It returns
-// false while the leader answers or nothing is held.
+// false while the leader answers, nothing is held, or the rights last long enough.
 func (holder *Holder) Keep(now time.Time) (Round, bool) {
 	if holder.draining || holder.inContact(now, NoContact) {
 		return Round{}, false
 	}
 	holding := holder.Holding(now)
-	if len(holding) == 0 {
-		return Round{}, false
+	for group := range holding {
+		if _, end, _ := holder.Held(now, group); end.Sub(now) <= keepAhead {
+			return holder.round(now, holding), true
+		}
 	}
-	return holder.round(now, holding), true
+	return Round{}, false
 }
 
 func (holder *Holder) inContact(now time.Time, within time.Duration) bool {
@@ -211,10 +237,10 @@
 // the VMs that can't be reached, since their engines check the token.
 func (holder *Holder) Kept(now time.Time, round Round, replies Replies) {
 	end := round.asked.Add(round.Length)
-	if replies.Refused > 0 || replies.Granted+replies.Unreachable < len(round.others) {
+	if replies.Refused > 0 || len(replies.Granted)+replies.Unreachable < len(round.others) {
 		return
 	}
-	all := replies.Granted == len(round.others) && holder.knowsOnly(round.others)
+	all := len(replies.Granted) == len(round.others) && holder.knowsOnly(round.others)
 	for group, token := range round.tokens {
 		held, _, ok := holder.Held(now, group)
 		if !ok || held != token {
@@ -228,16 +254,6 @@
 	}
 }
 
-// Introduction returns the round that introduces this VM to the others.
-func (holder *Holder) Introduction(now time.Time) Round {
-	return holder.round(now, nil)
-}
-
-// Introduced applies the replies to an Introduction round.
-func (holder *Holder) Introduced(now time.Time, round Round, replies Replies) {
-	holder.greeted(now, replies.Granted == len(round.others) && holder.knowsOnly(round.others))
-}
-
 // knowsOnly reports whether no VM was met since the round was made.
 func (holder *Holder) knowsOnly(others []core.VMID) bool {
 	return slices.Equal(holder.Others(), others)
--- a/pkg/replica/lease/leader.go
+++ b/pkg/replica/lease/leader.go
@@ -42,6 +42,8 @@
 	sessions map[Member]*session
 	pending  map[core.GroupID]*move
 	targets  map[Member]Share
+	// leased holds the shares of the members that have any.
+	leased map[Member][]leasedShare
 	// highest holds the largest token that a VM has reported of each group.
 	highest map[core.GroupID]core.FencingToken
 }
@@ -57,7 +59,6 @@
 	acked    time.Time
 	draining bool
 	demands  map[core.GroupID]Demand
-	leased   []leasedShare
 }
 
 // move is an assignment whose outcome is not known yet.
@@ -77,6 +78,7 @@
 		sessions: make(map[Member]*session),
 		pending:  make(map[core.GroupID]*move),
 		targets:  make(map[Member]Share),
+		leased:   make(map[Member][]leasedShare),
 		highest:  make(map[core.GroupID]core.FencingToken),
 	}
 }
@@ -150,13 +152,15 @@
 		return Share{} // the previous leader's shares may still be in use
 	}
 	free := leader.budget.spare()
-	for other, holder := range leader.sessions {
+	for other, leased := range leader.leased {
 		if other != member {
-			free = free.minus(outstanding(holder.leased, now))
+			free = free.minus(outstanding(leased, now))
 		}
 	}
 	extra := leader.targets[member].atMost(free)
-	current.leased = append(unexpired(current.leased, now), leasedShare{extra, now.Add(Length + Margin)})
+	if extra != (Share{}) {
+		leader.leased[member] = append(unexpired(leader.leased[member], now), leasedShare{extra, now.Add(Length + Margin)})
+	}
 	return extra
 }
 
@@ -192,6 +196,7 @@
 	for _, owned := range owners {
 		holding[memberOf(owned)] = true
 	}
+	maps.DeleteFunc(leader.leased, func(_ Member, leased []leasedShare) bool { return outstanding(leased, now) == Share{} })
 	maps.DeleteFunc(leader.sessions, func(member Member, current *session) bool {
 		return !holding[member] && now.Sub(current.seen) > forget
 	})
--- a/pkg/replica/lease/lease_test.go
+++ b/pkg/replica/lease/lease_test.go
@@ -17,7 +17,7 @@
 // pushes. Each file under testdata is one story with its times.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		script := &script{start: worldStart, now: worldStart, owners: make(Owners), holders: make(map[core.VMID]*Holder), pushes: NewPushes()}
+		script := &script{start: worldStart, now: worldStart, owners: make(Owners), holders: make(map[core.VMID]*Holder), pushes: NewPushes(Techniques{})}
 		datadriven.RunTest(t, path, script.run)
 	})
 }
@@ -125,7 +125,7 @@
 	for line := range strings.Lines(data.Input) {
 		holder.Meet(script.now, core.VMID(strings.TrimSpace(line)))
 	}
-	holder.Introduced(script.now, holder.Introduction(script.now), Replies{Granted: len(holder.Others())})
+	holder.Introduced(script.now, Replies{Granted: holder.Others()})
 	script.holders[self.VM] = holder
 	return ""
 }
@@ -189,7 +189,7 @@
 			continue
 		}
 		if granted, _ := holder.Consent(script.now, round.Request); granted {
-			replies.Granted++
+			replies.Granted = append(replies.Granted, other)
 		} else {
 			replies.Refused++
 		}
@@ -205,7 +205,7 @@
 	}
 	replies := script.poll(data, round)
 	holder.Kept(script.now, round, replies)
-	return fmt.Sprintf("granted=%d refused=%d unreachable=%d\n", replies.Granted, replies.Refused, replies.Unreachable)
+	return fmt.Sprintf("granted=%d refused=%d unreachable=%d\n", len(replies.Granted), replies.Refused, replies.Unreachable)
 }
 
 func (script *script) takeover(data *datadriven.TestData) string {
--- a/pkg/replica/lease/push.go
+++ b/pkg/replica/lease/push.go
@@ -24,11 +24,19 @@
 	return numbers.Config < newest.Config || numbers.Directory < newest.Directory
 }
 
+// Techniques chooses how VMs get changes. The zero value pushes them and lets the
+// renewals catch up on what was missed; the others are for comparison.
+type Techniques struct {
+	NoPush    bool
+	NoCatchUp bool
+}
+
 // Pushes is the leader's list of what each VM has. Numbers only grow: a late
 // answer takes nothing back. A restarted VM is another member.
 type Pushes struct {
-	newest Numbers
-	vms    map[Member]*pushState
+	techniques Techniques
+	newest     Numbers
+	vms        map[Member]*pushState
 }
 
 type pushState struct {
@@ -41,8 +49,13 @@
 }
 
 // NewPushes returns an empty list.
-func NewPushes() *Pushes {
-	return &Pushes{vms: make(map[Member]*pushState)}
+func NewPushes(techniques Techniques) *Pushes {
+	return &Pushes{techniques: techniques, vms: make(map[Member]*pushState)}
+}
+
+// CatchesUp reports whether the answer to a renewal carries what the VM misses.
+func (pushes *Pushes) CatchesUp() bool {
+	return !pushes.techniques.NoCatchUp
 }
 
 // Changed sets the newest numbers. Smaller ones are ignored.
@@ -66,10 +79,15 @@
 		state = &pushState{}
 		pushes.vms[member] = state
 	}
-	state.has = has
 	state.heard = now
-	state.tried = pushes.newest
-	state.attempts = pushAttempts
+	if ok && !pushes.CatchesUp() {
+		return
+	}
+	state.has = has
+	if pushes.CatchesUp() {
+		state.tried = pushes.newest
+		state.attempts = pushAttempts
+	}
 }
 
 // Acknowledged records the answer to a push.
@@ -91,11 +109,11 @@
 func (pushes *Pushes) Due(now time.Time) []Push {
 	var due []Push
 	for member, state := range pushes.vms {
-		if now.Sub(state.heard) > forget {
+		if pushes.CatchesUp() && now.Sub(state.heard) > forget {
 			delete(pushes.vms, member)
 			continue
 		}
-		if now.Sub(state.heard) <= Length && state.due(now, pushes.newest) {
+		if pushes.reaches(now, state) && state.due(now, pushes.newest) {
 			due = append(due, Push{member, state.has})
 		}
 	}
@@ -103,6 +121,15 @@
 	return due
 }
 
+// reaches reports whether pushes go to the VM now. Without catch-up there is no
+// later occasion, so silence doesn't stop them.
+func (pushes *Pushes) reaches(now time.Time, state *pushState) bool {
+	if pushes.techniques.NoPush {
+		return false
+	}
+	return now.Sub(state.heard) <= Length || !pushes.CatchesUp()
+}
+
 func (state *pushState) due(now time.Time, newest Numbers) bool {
 	if !state.has.behind(newest) {
 		return false
--- a/pkg/replica/lease/takeover.go
+++ b/pkg/replica/lease/takeover.go
@@ -36,7 +36,7 @@
 }
 
 func (holder *Holder) mayTakeOver(now time.Time, group core.GroupID) bool {
-	if holder.draining || holder.Greeting() || now.Before(holder.consent.barred) {
+	if holder.draining || len(holder.strangers()) > 0 || now.Before(holder.consent.barred) {
 		return false
 	}
 	if holder.inContact(now, Length+Margin) {
@@ -89,7 +89,7 @@
 	}
 	delete(holder.consent.underway, group)
 	end := round.asked.Add(round.Length)
-	if replies.Refused > 0 || replies.Granted+replies.Unreachable < len(round.others) || !holder.mayTakeOver(now, group) || !now.Before(end) {
+	if replies.Refused > 0 || len(replies.Granted)+replies.Unreachable < len(round.others) || !holder.mayTakeOver(now, group) || !now.Before(end) {
 		return false
 	}
 	token := round.tokens[group]
--- a/pkg/replica/lease/world_test.go
+++ b/pkg/replica/lease/world_test.go
@@ -182,7 +182,7 @@
 			} else if rapid.IntRange(0, 9).Draw(world.t, "reply") == 0 {
 				replies.Unreachable++
 			} else {
-				replies.Granted++
+				replies.Granted = append(replies.Granted, other)
 			}
 		}
 	}
@@ -196,9 +196,8 @@
 func (world *world) local(vm core.VMID) {
 	one := world.vms[vm]
 	world.demandsOf(one)
-	if one.holder.Greeting() {
-		round := one.holder.Introduction(world.now)
-		world.ask(one, round, func(replies Replies) { one.holder.Introduced(world.now, round, replies) })
+	if round, ok := one.holder.Introduction(world.now); ok {
+		world.ask(one, round, func(replies Replies) { one.holder.Introduced(world.now, replies) })
 	}
 	if round, ok := one.holder.Keep(world.now); ok {
 		world.ask(one, round, func(replies Replies) { one.holder.Kept(world.now, round, replies) })
