Renew without the pool of workers

Cause: adapter loads that never answer occupy the workers of the pool; a renewal that waits for one costs the VM its groups. Change: renewals, consent rounds and assignments have goroutines of their own; only pushes are jobs. Ruled out: a larger pool, since the number of hanging loads has no lower bound.

--- a/internal/session/cluster_test.go
+++ b/internal/session/cluster_test.go
@@ -41,9 +41,10 @@
 	zones    map[core.VMID]core.ZoneID
 	disks    []core.VMID
 	runs     int
-	dropped  int
 	// dropPushes loses every push.
 	dropPushes bool
+	// stuck stops the workers of the pool.
+	stuck bool
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -155,7 +156,6 @@
 	cluster.lock.Lock()
 	defer cluster.lock.Unlock()
 	if request.GetPush() != nil && cluster.dropPushes {
-		cluster.dropped++
 		return false
 	}
 	return !cluster.cut[[2]core.VMID{from, to}]
@@ -167,10 +167,15 @@
 	return cluster.sessions[vm]
 }
 
-// goroutines runs each job on a goroutine of its own.
-type goroutines struct{}
-
-func (goroutines) Go(job func()) { go job() }
+// Go makes the cluster a pool that runs each job on a goroutine of its own, or none
+// while its workers are stuck.
+func (cluster *cluster) Go(job func()) {
+	cluster.lock.Lock()
+	defer cluster.lock.Unlock()
+	if !cluster.stuck {
+		go job()
+	}
+}
 
 // start starts a VM, or starts it again.
 func (cluster *cluster) start(vm core.VMID) {
@@ -178,7 +183,7 @@
 	parts := Parts{
 		Self: lease.Member{VM: vm, Incarnation: core.Incarnation(fmt.Sprint(cluster.runs))}, Zone: cluster.zones[vm],
 		DiskVMs: cluster.disks, Budget: lease.Budget{Loads: 8, Transit: 16, Zones: 2, GroupsPerZone: 2},
-		Caller: link{cluster, vm}, Jobs: goroutines{}, Reporter: cluster, Logger: log.New(io.Discard),
+		Caller: link{cluster, vm}, Jobs: cluster, Reporter: cluster, Logger: log.New(io.Discard),
 	}
 	for other, zone := range cluster.zones {
 		if other != vm && zone == parts.Zone {
--- a/internal/session/leader.go
+++ b/internal/session/leader.go
@@ -32,7 +32,7 @@
 }
 
 // jobs runs a function on a pool of workers. The functions wait for other VMs, up to
-// half a second each.
+// pushTimeout each.
 type jobs interface {
 	Go(job func())
 }
@@ -124,8 +124,10 @@
 	defer cancel()
 	ticker := time.NewTicker(leaderInterval)
 	defer ticker.Stop()
+	var assigning sync.WaitGroup
+	defer assigning.Wait()
 	for {
-		leader.step(ctx)
+		leader.step(ctx, &assigning)
 		select {
 		case <-ctx.Done():
 			return
@@ -135,7 +137,7 @@
 	}
 }
 
-func (leader *Leader) step(ctx context.Context) {
+func (leader *Leader) step(ctx context.Context, assigning *sync.WaitGroup) {
 	now := time.Now()
 	authority := leader.current(now)
 	if authority == nil {
@@ -143,7 +145,7 @@
 	}
 	leader.observe(authority)
 	for _, assign := range authority.Tick(now) {
-		leader.jobs.Go(func() { leader.assign(ctx, authority, assign) })
+		assigning.Go(func() { leader.assign(ctx, authority, assign) })
 	}
 	for _, push := range authority.Due(now) {
 		leader.jobs.Go(func() { leader.push(ctx, authority, push) })
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -18,8 +18,9 @@
 	// roundInterval is the time between two rounds of questions in the zone. Two of
 	// them fit between the loss of contact and the end of a lease.
 	roundInterval = lease.Interval / 2
-	// renewTimeout bounds a renewal, so that the next one goes to another disk VM.
-	renewTimeout = lease.Interval
+	// renewTimeout bounds a renewal, so that the next one leaves in time and goes to
+	// another disk VM.
+	renewTimeout = lease.Interval - 50*time.Millisecond
 	// consentTimeout is below roundInterval, so that rounds don't overlap.
 	consentTimeout = 200 * time.Millisecond
 )
@@ -39,10 +40,11 @@
 	Self lease.Member
 	Zone core.ZoneID
 	// ZoneVMs are the other VMs of the zone, DiskVMs all VMs with a disk.
-	ZoneVMs  []core.VMID
-	DiskVMs  []core.VMID
-	Budget   lease.Budget
-	Caller   caller
+	ZoneVMs []core.VMID
+	DiskVMs []core.VMID
+	Budget  lease.Budget
+	Caller  caller
+	// Jobs sends the pushes; those that wait too long are healed by renewals.
 	Jobs     jobs
 	Reporter reporter
 	// Loads may be nil; the shares then follow the number of groups.
@@ -107,11 +109,13 @@
 	parts.Wait()
 }
 
+// renewals doesn't use the pool of workers: engines that don't answer occupy it, and
+// a renewal that waits for a worker would cost the VM its groups.
 func (session *Session) renewals(ctx context.Context) {
 	ticker := time.NewTicker(lease.Interval)
 	defer ticker.Stop()
 	for {
-		session.parts.Jobs.Go(func() { session.renew(ctx) })
+		session.renew(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -199,14 +203,17 @@
 	session.changed()
 }
 
-// rounds asks the other VMs of the zone while there is something to ask.
+// rounds asks the other VMs of the zone while there is something to ask. Like
+// renewals it doesn't use the pool of workers.
 func (session *Session) rounds(ctx context.Context) {
 	ticker := time.NewTicker(roundInterval)
 	defer ticker.Stop()
+	var asking sync.WaitGroup
+	defer asking.Wait()
 	for {
 		now := time.Now()
 		for _, round := range session.node.Rounds(now, session.demands(now)) {
-			session.parts.Jobs.Go(func() { session.ask(ctx, round) })
+			asking.Go(func() { session.ask(ctx, round) })
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -56,6 +56,10 @@
 		cluster.lock.Lock()
 		cluster.dropPushes = data.HasArg("lost")
 		cluster.lock.Unlock()
+	case "workers":
+		cluster.lock.Lock()
+		cluster.stuck = data.HasArg("stuck")
+		cluster.lock.Unlock()
 	case "put":
 		return cluster.put(data)
 	case "announce":
