--- a/internal/bench/path/cluster.go
+++ b/internal/bench/path/cluster.go
@@ -24,7 +24,6 @@
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
-	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 	"github.com/dandelionring/dandelionring/pkg/policy/admission"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
