--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -225,7 +225,7 @@
 		conn.Close()
 		return nil, "", errors.Wrap(err, "open link")
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(newBatchConn(conn), sessionConfig())
 	if err != nil {
 		conn.Close()
 		return nil, "", errors.Wrap(err, "open session")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -78,7 +78,7 @@
 		server.logger.Warn("Link refused.", "address", conn.RemoteAddr(), "error", err)
 		return
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(newBatchConn(conn), sessionConfig())
 	if err != nil {
 		server.logger.Error("Link not opened.", "peer", from, "error", err)
 		return
