--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -86,10 +86,12 @@
 # stop_all ends every process that this script started, all at the same time.
 stop_all() {
 	local name
-	for name in "${!pids[@]}"; do
-		stop "$name" &
-	done
-	wait
+	{
+		for name in "${!pids[@]}"; do
+			stop "$name" &
+		done
+		wait
+	} 2>/dev/null # the shell reports processes that were ended by force
 	pids=()
 }
 
