Judge the failure cases by the audit log as well

Cause: the cases compared callers and upstreams, but not the audit log. The cases' deadline is 15 s, since 24 adapter versions at a third of 7 loads a second take 10 s to load in one zone: with 8 s, 2 of 480 requests ran into it on a cold start.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -60,14 +60,15 @@
 	kill -0 "${pids[$1]}" 2>/dev/null
 }
 
-# stop NAME ends the process in order, and by force after 5 s.
+# stop NAME ends the process in order, and by force after 10 s: a VM that can reach
+# no other disk waits 5 s for the second copies of its audit records.
 stop() {
 	local name=$1 pid=${pids[$1]:-}
 	[ -n "$pid" ] || return 0
 	unset "pids[$name]"
 	kill -CONT "$pid" 2>/dev/null || true
 	kill -TERM "$pid" 2>/dev/null || true
-	for _ in $(seq 50); do
+	for _ in $(seq 100); do
 		kill -0 "$pid" 2>/dev/null || break
 		sleep 0.1
 	done
@@ -137,7 +138,7 @@
 		{"VM": "$name", "Zone": "${zone_of[$name]}", "DataFolder": "$data", "Peers": [$peers],
 		 "CallerAddress": "127.0.0.1:0", "OperatorAddress": "127.0.0.1:0",
 		 "UpstreamAddress": "127.0.0.1:0", "PeerAddress": "127.0.0.1:0",
-		 "SharedSecret": "$secret", "ReadyGraceSeconds": 1, "DefaultDeadlineMillis": 8000,
+		 "SharedSecret": "$secret", "ReadyGraceSeconds": 1, "DefaultDeadlineMillis": 15000,
 		 "StoreLoadsPerSecond": ${store_rate:-7}, "StoreTransits": ${store_transits:-3}}
 	EOF
 }
--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -195,6 +195,36 @@
 	done
 }
 
+# audit ends the VMs in order, verifies the audit log, and compares it with what the
+# upstreams ran.
+step_audit() {
+	local vm folders=() journals=()
+	for vm in "${vm_names[@]}"; do
+		! .bin/dandelionring audit configs --operator "${addresses[$vm/operator]}" >"$run_dir/configs.json" 2>/dev/null || break
+	done
+	stop_vms none
+	stop_vms disk
+	for vm in "${vm_names[@]}"; do [ "${disk_of[$vm]}" != disk ] || folders+=(--folder "$run_dir/data-$vm/audit"); done
+	.bin/dandelionring audit verify "${folders[@]}" --history "$run_dir/configs.json" >"$run_dir/audit.txt" 2>&1 || violation Audit "$(head -n 3 "$run_dir/audit.txt" | tr '\n' ' ')"
+	tail -n 1 "$run_dir/audit.txt"
+	.bin/dandelionring audit export "${folders[@]}" >"$run_dir/audit.jsonl" || violation Audit "no export"
+	for vm in "$run_dir"/*.journal; do journals+=(--journal "$vm"); done
+	.bin/standin check --audit "$run_dir/audit.jsonl" "${journals[@]}" >"$run_dir/audit-verdict.json" || violation Audit "$(grep -m 1 violation: "$run_dir/audit-verdict.json" | cut -c1-300)"
+	grep -E 'Runs|Audited' "$run_dir/audit-verdict.json"
+}
+
+# stop_vms disk|none ends the VMs with or without a disk, all at the same time.
+stop_vms() {
+	local vm stops=()
+	for vm in "${vm_names[@]}"; do
+		[ "${disk_of[$vm]}" = "$1" ] || continue
+		stop "$vm" 2>/dev/null &
+		stops+=($!)
+	done
+	wait "${stops[@]}"
+	for vm in "${vm_names[@]}"; do [ "${disk_of[$vm]}" != "$1" ] || unset "pids[$vm]"; done
+}
+
 # recovered SECONDS needs 95 of 100 requests served again within the time.
 step_recovered() {
 	local took
--- a/standin/cmd/standin/load.go
+++ b/standin/cmd/standin/load.go
@@ -74,11 +74,13 @@
 
 func checkCommand() command {
 	var records, journals []string
+	var audited string
 	check := load.Check{MaxViolationsShown: 5}
 	sub := flaggy.NewSubcommand("check")
 	sub.Description = "Judge the records of the callers with the journals of the stand-ins."
 	sub.StringSlice(&records, "", "records", "file of records; repeat for several")
 	sub.StringSlice(&journals, "", "journal", "file of a stand-in; repeat for several")
+	sub.String(&audited, "", "audit", "exported audit log, which must hold the start of every run")
 	sub.Int64(&check.Event, "", "event", "time of the fault in Unix microseconds, for the time to recover")
 	sub.Int(&check.MaxViolationsShown, "", "show", "number of violations shown in full")
 	return command{sub: sub, run: func(context.Context) error {
@@ -98,6 +100,12 @@
 			}
 			entries = append(entries, read...)
 		}
+		if audited != "" {
+			var err error
+			if check.Audited, err = load.ReadAudit(audited); err != nil {
+				return err
+			}
+		}
 		ok, err := check.Print(os.Stdout, check.Judge(allRecords, entries))
 		if err == nil && !ok {
 			return errViolations
--- a/standin/load/check.go
+++ b/standin/load/check.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/standin/journal"
 )
@@ -16,6 +19,9 @@
 	Event int64
 	// MaxViolationsShown bounds the details that are printed.
 	MaxViolationsShown int
+	// Audited holds the attempts whose start is in the audit log; nil skips the
+	// comparison.
+	Audited map[core.AttemptID]bool
 }
 
 // Verdict is what the records and journals show.
@@ -24,6 +30,7 @@
 	Results    map[Result]int
 	Codes      map[string]int
 	Runs       int
+	Audited    int `json:",omitempty"`
 	Violations map[string]int
 	// RecoverySeconds is the time from the event until 95 of 100 requests were
 	// served; negative if it was never reached.
@@ -37,6 +44,7 @@
 	falseNotRun     = "FalseNotRun"
 	repeatedCall    = "RepeatedCall"
 	answerWithout   = "AnswerWithoutRun"
+	notAudited      = "RunWithoutAudit"
 	standinObserved = "Upstream: "
 )
 
@@ -57,6 +65,9 @@
 		case journal.Run:
 			runs[entry.Key]++
 			verdict.Runs++
+			if check.Audited != nil && !check.Audited[entry.Attempt] {
+				verdict.add(notAudited, fmt.Sprintf("%+v", entry))
+			}
 		case journal.Violation:
 			verdict.add(standinObserved+entry.Detail, fmt.Sprintf("%+v", entry))
 		}
@@ -64,6 +75,7 @@
 	for _, record := range records {
 		verdict.judge(record, runs[record.Content])
 	}
+	verdict.Audited = len(check.Audited)
 	if check.Event > 0 {
 		verdict.RecoverySeconds = check.recovery(records)
 	}
@@ -129,3 +141,31 @@
 	}
 	return len(verdict.Violations) == 0, nil
 }
+
+// ReadAudit returns the attempts whose start stands in an exported audit log, one
+// record a line.
+func ReadAudit(path string) (map[core.AttemptID]bool, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "open audit log")
+	}
+	defer file.Close()
+	attempts := make(map[core.AttemptID]bool)
+	decoder := json.NewDecoder(file)
+	for {
+		var record struct {
+			Event   string
+			Attempt core.AttemptID
+		}
+		err := decoder.Decode(&record)
+		if errors.Is(err, io.EOF) {
+			return attempts, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "decode audit log")
+		}
+		if record.Event == "start" {
+			attempts[record.Attempt] = true
+		}
+	}
+}
