Serve metrics to the platform and connect the audit benchmark

Cause: docs/interfaces.md names GET /metrics, which no part answered; a put without a majority was answered as uncertain although it has no effect for certain. Ruled out: metrics on OperatorAddress, since the platform holds no operator token.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/dandelionring/dandelionring/internal/bench/audit"
 	"github.com/dandelionring/dandelionring/internal/bench/path"
 	"github.com/dandelionring/dandelionring/internal/bench/policy"
 )
@@ -28,6 +29,7 @@
 	{"placement", figures(policy.Placement)},
 	{"batching", figures(policy.Batching)},
 	{"path", path.Run},
+	{"audit", audit.Run},
 }
 
 func main() {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
@@ -49,6 +50,7 @@
 	router.HandleFunc("/v1/services/{service}/*", handler.service)
 	router.Get("/ready", handler.ready)
 	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
+	router.Get("/metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(writer, true) })
 	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
 		writeRefusal(writer, core.Refuse(core.CodeBadRequest, "no such path: "+request.URL.Path))
 	})
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/internal/caller"
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/operator"
 	"github.com/dandelionring/dandelionring/internal/peer"
@@ -186,6 +187,7 @@
 	operators := operator.New(operator.Parts{
 		TokenHashes:    vm.settings.OperatorTokenHashes,
 		Lists:          vm.durable.commands,
+		NotAccepted:    []error{host.ErrNotCommitted, host.ErrNoQuorum},
 		Configurations: vm.durable.archive,
 		Statuses:       status{vm: vm},
 		Levels:         vm.logs,
