Restore the audit records of a new disk from the other disks

Cause: a record has two copies; with two disks lost one after the other, the copies of 80 records of one VM were both gone. Change: a VM whose audit folder was not restored fetches the records of every other disk VM, marks the folder when it has all, and says restoring in its status until then. Ruled out: three copies of every record, which cost each VM more writes and still lose records after three losses in turn.

--- a/internal/vm/durable.go
+++ b/internal/vm/durable.go
@@ -30,6 +30,10 @@
 	commands *host.Client
 	archive  archive
 	auditor  *auditor.Auditor
+	// restorer is nil on a VM without a disk.
+	restorer *auditor.Restorer
+	// auditFolder is empty on a VM without a disk.
+	auditFolder string
 }
 
 // diskVMs returns the VMs with a disk, in the order of the settings of every VM.
@@ -106,11 +110,14 @@
 	}
 	closeWriter := func() {}
 	if settings.DataFolder != "" {
-		writer, closeLog, err := audit.Open(filepath.Join(settings.DataFolder, AuditFolder), auditOptions(settings))
+		state.auditFolder = filepath.Join(settings.DataFolder, AuditFolder)
+		writer, closeLog, err := audit.Open(state.auditFolder, auditOptions(settings))
 		if err != nil {
 			return nil, errors.Wrap(err, "open audit log")
 		}
 		options.Store, closeWriter = writer, closeLog
+		others := without(diskVMs(settings), settings.VM)
+		state.restorer = auditor.NewRestorer(state.auditFolder, writer, others, client, options.Logger)
 	}
 	opened, closeAuditor := auditor.New(options)
 	state.auditor = opened
--- a/internal/vm/handler.go
+++ b/internal/vm/handler.go
@@ -24,7 +24,9 @@
 	session    *session.Session
 	auditor    *auditor.Auditor
 	archive    archive
-	info       info
+	// auditFolder is empty on a VM without a disk.
+	auditFolder string
+	info        info
 	// host is nil on a VM without a disk.
 	host *host.Host
 }
@@ -35,6 +37,10 @@
 		handler.forwarding.forward(ctx, forward, send)
 		return
 	}
+	if request.GetAuditFetch() != nil {
+		handler.sendAuditLog(send)
+		return
+	}
 	response, err := handler.answer(ctx, from, request)
 	if err != nil {
 		_ = peer.Fail(send, err)
@@ -71,6 +77,17 @@
 	return nil, errUnknownRequest
 }
 
+// sendAuditLog sends every record of this VM's disk to a VM with a new disk.
+func (handler handler) sendAuditLog(send func(*wire.Response) error) {
+	if handler.auditFolder == "" {
+		_ = peer.Fail(send, errUnknownRequest)
+		return
+	}
+	if err := auditor.SendLog(handler.auditFolder, send); err != nil {
+		_ = peer.Fail(send, err)
+	}
+}
+
 func (handler handler) configPage(request *wire.ConfigFetch) (*wire.Response, error) {
 	if handler.archive.replica == nil {
 		return nil, errUnknownRequest
--- a/internal/vm/sessions.go
+++ b/internal/vm/sessions.go
@@ -46,6 +46,9 @@
 func (vm *vm) background(ctx context.Context) {
 	go vm.session.Run(ctx)
 	go vm.followShares(ctx)
+	if vm.durable.restorer != nil {
+		go vm.durable.restorer.Run(ctx)
+	}
 }
 
 // followShares gives the groups of this VM its share of the store's limit, as often as
--- a/internal/vm/status.go
+++ b/internal/vm/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/internal/dispatch"
+	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/operator"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -37,9 +38,7 @@
 		AgeMillis:    info.vm.session.ConfigAge().Milliseconds(),
 		Draining:     !info.vm.ready.Load(),
 	}
-	if host := info.vm.durable.host; host != nil {
-		result.Replica = string(host.Part())
-	}
+	result.Replica = info.replica()
 	now := time.Now()
 	for _, announced := range info.vm.owner.Announced(now) {
 		result.Upstreams = append(result.Upstreams, upstreamInfo(announced, now))
@@ -47,6 +46,19 @@
 	return result
 }
 
+// replica tells what the replicas of this VM do. A VM that votes but does not hold the
+// audit records of the other disks yet is no full copy.
+func (info info) replica() string {
+	if info.vm.durable.host == nil {
+		return ""
+	}
+	part := info.vm.durable.host.Part()
+	if part == host.PartVoter && !info.vm.durable.restorer.Done() {
+		return "restoring"
+	}
+	return string(part)
+}
+
 // status describes the deployment as this VM sees it.
 type status struct {
 	vm *vm
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -144,13 +144,14 @@
 // serve answers until the context ends, and then drains.
 func (vm *vm) serve(ctx context.Context) error {
 	handler := handler{
-		forwarding: vm.forwarding,
-		registry:   vm.registry,
-		session:    vm.session,
-		auditor:    vm.durable.auditor,
-		archive:    vm.durable.archive,
-		info:       info{vm: vm},
-		host:       vm.durable.host,
+		forwarding:  vm.forwarding,
+		registry:    vm.registry,
+		session:     vm.session,
+		auditor:     vm.durable.auditor,
+		archive:     vm.durable.archive,
+		auditFolder: vm.durable.auditFolder,
+		info:        info{vm: vm},
+		host:        vm.durable.host,
 	}
 	closePeers := peer.Serve(vm.open.peer, vm.self, handler, vm.logs.Part("peer"))
 	vm.closers.add(closePeers)
