Keep old versions of the lists compressed

Cause: every configuration can be read, and each change kept its entry, two hashes as text and a name. Change: 16 versions of one entry are compressed together, hashes are kept in binary form and the names of operators once. Ruled out: dropping old configurations; the history must stay readable.

--- a/pkg/replica/ledger/config.go
+++ b/pkg/replica/ledger/config.go
@@ -27,7 +27,8 @@
 func (state *State) History(after core.ConfigNumber, limit int) []Change {
 	var changes []Change
 	for number := after + 1; number <= state.lists.number() && len(changes) < limit; number++ {
-		changes = append(changes, state.lists.changes[number-1].Change)
+		change, _ := state.lists.change(number)
+		changes = append(changes, change)
 	}
 	return changes
 }
@@ -53,11 +54,14 @@
 }
 
 func entriesAt[Entry any](series *series, number core.ConfigNumber) ([]Entry, error) {
-	plans := series.plansAt(number)
-	entries := make([]Entry, len(plans))
-	for i, plan := range plans {
-		if err := json.Unmarshal(series.at(plan, number), &entries[i]); err != nil {
-			return nil, errors.Wrapf(err, "decode entry of plan %q", plan)
+	contents, err := series.at(number)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]Entry, len(contents))
+	for i, content := range contents {
+		if err := json.Unmarshal(content, &entries[i]); err != nil {
+			return nil, errors.Wrap(err, "decode entry")
 		}
 	}
 	return entries, nil
@@ -104,7 +108,7 @@
 func (lists *lists) changed(kind core.ListKind, number core.ConfigNumber) []core.PlanID {
 	var plans []core.PlanID
 	for _, change := range lists.changes[number:] {
-		if change.Kind == kind {
+		if change.kind == kind {
 			plans = append(plans, change.plans...)
 		}
 	}
--- a/pkg/replica/ledger/errors.go
+++ b/pkg/replica/ledger/errors.go
@@ -6,4 +6,7 @@
 // Error returns the mistake.
 func (mistake misuse) Error() string { return string(mistake) }
 
-const errEntryEncoding misuse = "ledger: an entry of a list cannot be encoded"
+const (
+	errEntryEncoding misuse = "ledger: an entry of a list cannot be encoded"
+	errCompression   misuse = "ledger: writing to memory failed"
+)
--- a/pkg/replica/ledger/list.go
+++ b/pkg/replica/ledger/list.go
@@ -8,49 +8,38 @@
 	"hash"
 	"slices"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
-// version is one entry of a list from a number on. A removed entry has no content.
-type version struct {
-	number  core.ConfigNumber
-	content []byte
-}
-
 // series holds every entry that a list ever had, with all its versions, so that
 // the list at any number can be read. A change costs only its own entries.
 type series struct {
-	versions map[core.PlanID][]version
+	entries map[core.PlanID]*entryHistory
 	// live holds the plans with an entry now, in order.
 	live []core.PlanID
 }
 
 func newSeries() *series {
-	return &series{versions: make(map[core.PlanID][]version)}
-}
-
-// at returns the entry of a plan at a number, and nil if there was none.
-func (series *series) at(plan core.PlanID, number core.ConfigNumber) []byte {
-	versions := series.versions[plan]
-	for i := len(versions) - 1; i >= 0; i-- {
-		if versions[i].number <= number {
-			return versions[i].content
-		}
-	}
-	return nil
+	return &series{entries: make(map[core.PlanID]*entryHistory)}
 }
 
 // now returns the entry of a plan, and nil if there is none.
 func (series *series) now(plan core.PlanID) []byte {
-	versions := series.versions[plan]
-	if len(versions) == 0 {
-		return nil
+	if entry := series.entries[plan]; entry != nil {
+		return entry.now()
 	}
-	return versions[len(versions)-1].content
+	return nil
 }
 
 func (series *series) set(plan core.PlanID, number core.ConfigNumber, content []byte) {
-	series.versions[plan] = append(series.versions[plan], version{number, content})
+	entry := series.entries[plan]
+	if entry == nil {
+		entry = &entryHistory{}
+		series.entries[plan] = entry
+	}
+	entry.add(version{number, content})
 	place, found := slices.BinarySearch(series.live, plan)
 	switch {
 	case content == nil && found:
@@ -60,16 +49,26 @@
 	}
 }
 
-// plansAt returns the plans with an entry at a number, in order.
-func (series *series) plansAt(number core.ConfigNumber) []core.PlanID {
+// at returns the entries of the list at a number, in the order of their plans.
+func (series *series) at(number core.ConfigNumber) ([][]byte, error) {
+	contents := make(map[core.PlanID][]byte)
 	var plans []core.PlanID
-	for plan := range series.versions {
-		if series.at(plan, number) != nil {
+	for plan, entry := range series.entries {
+		content, err := entry.at(number)
+		if err != nil {
+			return nil, errors.Wrapf(err, "entry of plan %q", plan)
+		}
+		if content != nil {
+			contents[plan] = content
 			plans = append(plans, plan)
 		}
 	}
 	slices.Sort(plans)
-	return plans
+	sorted := make([][]byte, len(plans))
+	for i, plan := range plans {
+		sorted[i] = contents[plan]
+	}
+	return sorted, nil
 }
 
 // canonical is one list as sorted entries, each in its canonical JSON.
@@ -143,18 +142,19 @@
 
 // hashConfig returns the SHA-256 of the canonical JSON of both lists:
 // {"Plans":[...],"Grants":[...]} with the entries sorted by plan.
-func hashConfig(plans, grants canonical) string {
+func hashConfig(plans, grants canonical) [hashSize]byte {
 	sum := sha256.New()
 	sum.Write([]byte(`{"Plans":`))
 	plans.write(sum)
 	sum.Write([]byte(`,"Grants":`))
 	grants.write(sum)
 	sum.Write([]byte("}"))
-	return hex.EncodeToString(sum.Sum(nil))
+	return [hashSize]byte(sum.Sum(nil))
 }
 
 // Hash returns the hash of a configuration; the order of its entries does not
 // count.
 func Hash(plans core.Plans, grants core.Grants) string {
-	return hashConfig(canonicalPlans(plans), canonicalGrants(grants))
+	sum := hashConfig(canonicalPlans(plans), canonicalGrants(grants))
+	return hex.EncodeToString(sum[:])
 }
--- a/pkg/replica/ledger/lists.go
+++ b/pkg/replica/ledger/lists.go
@@ -1,16 +1,27 @@
 package ledger
 
 import (
+	"encoding/hex"
 	"encoding/json"
 	"slices"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
+// hashSize is the length of a SHA-256. Hashes are kept in binary form: they are the
+// larger part of a change.
+const hashSize = 32
+
 // changeRecord is a change together with the plans whose entries it changed.
 type changeRecord struct {
-	Change
-	plans []core.PlanID
+	kind     core.ListKind
+	hash     [hashSize]byte
+	content  [hashSize]byte
+	operator string
+	at       int64
+	plans    []core.PlanID
 }
 
 // lists holds both lists with their history. The change with number n stands at
@@ -19,10 +30,12 @@
 	plans   *series
 	grants  *series
 	changes []changeRecord
+	// operators holds the names of all operators that made a change.
+	operators map[string]string
 }
 
 func newLists() lists {
-	return lists{plans: newSeries(), grants: newSeries()}
+	return lists{plans: newSeries(), grants: newSeries(), operators: make(map[string]string)}
 }
 
 func (lists *lists) series(kind core.ListKind) *series {
@@ -40,7 +53,46 @@
 	if number == 0 || number > lists.number() {
 		return Change{}, false
 	}
-	return lists.changes[number-1].Change, true
+	record := &lists.changes[number-1]
+	return Change{
+		Number: number, Kind: record.kind, Hash: hex.EncodeToString(record.hash[:]),
+		ContentHash: hex.EncodeToString(record.content[:]), Operator: record.operator, At: record.at,
+	}, true
+}
+
+// record returns the form in which a change is kept, and an error if a hash is not
+// one. The hash of the configuration may be empty.
+func (lists *lists) record(change Change, plans []core.PlanID) (changeRecord, error) {
+	record := changeRecord{kind: change.Kind, operator: lists.operator(change.Operator), at: change.At, plans: plans}
+	if err := decodeHash(&record.content, change.ContentHash); err != nil {
+		return changeRecord{}, errors.Wrap(err, "content")
+	}
+	if change.Hash == "" {
+		return record, nil
+	}
+	if err := decodeHash(&record.hash, change.Hash); err != nil {
+		return changeRecord{}, errors.Wrap(err, "configuration")
+	}
+	return record, nil
+}
+
+// operator returns the name in the copy that is kept once for all changes.
+func (lists *lists) operator(name string) string {
+	if known, ok := lists.operators[name]; ok {
+		return known
+	}
+	lists.operators[name] = name
+	return name
+}
+
+func decodeHash(hash *[hashSize]byte, text string) error {
+	if len(text) != hex.EncodedLen(hashSize) {
+		return errors.Errorf("%q is not a SHA-256", text)
+	}
+	if _, err := hex.Decode(hash[:], []byte(text)); err != nil {
+		return errors.Wrapf(err, "%q is not a SHA-256", text)
+	}
+	return nil
 }
 
 func (lists *lists) hash() string {
@@ -114,13 +166,17 @@
 
 // hashWith returns the hash of the configuration if one of the lists is replaced.
 func (lists *lists) hashWith(kind core.ListKind, form canonical) string {
+	plans, grants := lists.plans.form(), lists.grants.form()
 	if kind == core.PlansList {
-		return hashConfig(form, lists.grants.form())
+		plans = form
+	} else {
+		grants = form
 	}
-	return hashConfig(lists.plans.form(), form)
+	sum := hashConfig(plans, grants)
+	return hex.EncodeToString(sum[:])
 }
 
-func (lists *lists) computeHash() string {
+func (lists *lists) computeHash() [hashSize]byte {
 	return hashConfig(lists.plans.form(), lists.grants.form())
 }
 
@@ -150,6 +206,12 @@
 	if len(faults) > 0 {
 		return lists.refuse(faults)
 	}
+	record, err := lists.record(Change{
+		Kind: change.Kind, Hash: change.Hash, ContentHash: change.ContentHash, Operator: change.Operator, At: now,
+	}, slices.Concat(plans, change.Removed))
+	if err != nil {
+		return lists.refuse([]core.Fault{{Place: "Hash", Reason: err.Error()}})
+	}
 	number := change.Replaces + 1
 	list := lists.series(change.Kind)
 	for i, plan := range plans {
@@ -159,14 +221,10 @@
 		list.set(plan, number, nil)
 	}
 	if change.Hash == "" {
-		change.Hash = lists.computeHash()
-	}
-	accepted := Change{
-		Number: number, Kind: change.Kind, Hash: change.Hash,
-		ContentHash: change.ContentHash, Operator: change.Operator, At: now,
+		record.hash = lists.computeHash()
 	}
-	lists.changes = append(lists.changes, changeRecord{accepted, slices.Concat(plans, change.Removed)})
-	return PutListResult{Accepted: true, Number: number, Hash: accepted.Hash}
+	lists.changes = append(lists.changes, record)
+	return PutListResult{Accepted: true, Number: number, Hash: lists.hash()}
 }
 
 // planIDs returns the plan of each entry.
--- a/pkg/replica/ledger/snapshot.go
+++ b/pkg/replica/ledger/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/gob"
+	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -18,8 +19,8 @@
 	Now       int64
 	Applied   uint64
 	Directory uint64
-	Plans     []storedVersion
-	Grants    []storedVersion
+	Plans     []storedEntry
+	Grants    []storedEntry
 	Changes   []storedChange
 	Owners    []Ownership
 	Keys      []storedClaim
@@ -28,15 +29,24 @@
 	Suspects  []storedSuspect
 }
 
+type storedEntry struct {
+	Plan   core.PlanID
+	Blocks []block
+	Recent []storedVersion
+}
+
 type storedVersion struct {
-	Plan    core.PlanID
 	Number  core.ConfigNumber
 	Content []byte
 }
 
 type storedChange struct {
-	Change Change
-	Plans  []core.PlanID
+	Kind     core.ListKind
+	Hash     []byte
+	Content  []byte
+	Operator string
+	At       int64
+	Plans    []core.PlanID
 }
 
 type storedClaim struct {
@@ -66,7 +76,10 @@
 		Keys:    make([]storedClaim, 0, len(state.claims.keys)),
 	}
 	for _, change := range state.lists.changes {
-		form.Changes = append(form.Changes, storedChange{change.Change, change.plans})
+		form.Changes = append(form.Changes, storedChange{
+			Kind: change.kind, Hash: bytes.Clone(change.hash[:]), Content: bytes.Clone(change.content[:]),
+			Operator: change.operator, At: change.at, Plans: change.plans,
+		})
 	}
 	for key, entry := range state.claims.keys {
 		form.Keys = append(form.Keys, storedClaim{key, *entry})
@@ -91,14 +104,15 @@
 	return state.Freeze().Encode()
 }
 
-// store returns all versions of a list. The versions of one entry stand in their
-// order.
-func (series *series) store() []storedVersion {
-	var all []storedVersion
-	for plan, versions := range series.versions {
-		for _, version := range versions {
-			all = append(all, storedVersion{plan, version.number, version.content})
+// store returns all entries with their versions.
+func (series *series) store() []storedEntry {
+	all := make([]storedEntry, 0, len(series.entries))
+	for plan, entry := range series.entries {
+		stored := storedEntry{Plan: plan, Blocks: entry.blocks}
+		for _, version := range entry.recent {
+			stored.Recent = append(stored.Recent, storedVersion{version.number, version.content})
 		}
+		all = append(all, stored)
 	}
 	return all
 }
@@ -117,9 +131,15 @@
 	state.lists.plans.load(form.Plans)
 	state.lists.grants.load(form.Grants)
 	for _, change := range form.Changes {
-		state.lists.changes = append(state.lists.changes, changeRecord{change.Change, change.Plans})
+		if len(change.Hash) != hashSize || len(change.Content) != hashSize {
+			return nil, errors.Errorf("change %d in the snapshot has no hash", len(state.lists.changes)+1)
+		}
+		state.lists.changes = append(state.lists.changes, changeRecord{
+			kind: change.Kind, hash: [hashSize]byte(change.Hash), content: [hashSize]byte(change.Content),
+			operator: state.lists.operator(change.Operator), at: change.At, plans: change.Plans,
+		})
 	}
-	if state.Number() > 0 && state.lists.computeHash() != state.Hash() {
+	if number := state.Number(); number > 0 && state.lists.computeHash() != state.lists.changes[number-1].hash {
 		return nil, errors.Errorf("the configuration %d in the snapshot does not match its hash", state.Number())
 	}
 	for _, owner := range form.Owners {
@@ -132,15 +152,22 @@
 	return state, nil
 }
 
-func (series *series) load(all []storedVersion) {
+func (series *series) load(all []storedEntry) {
 	for _, stored := range all {
-		content := stored.Content
-		if len(content) == 0 {
-			content = nil
+		entry := &entryHistory{blocks: stored.Blocks}
+		for _, recent := range stored.Recent {
+			next := version{number: recent.Number}
+			if len(recent.Content) > 0 {
+				next.content = recent.Content
+			}
+			entry.recent = append(entry.recent, next)
+		}
+		series.entries[stored.Plan] = entry
+		if entry.now() != nil {
+			series.live = append(series.live, stored.Plan)
 		}
-		series.versions[stored.Plan] = append(series.versions[stored.Plan], version{stored.Number, content})
 	}
-	series.live = series.plansAt(^core.ConfigNumber(0))
+	slices.Sort(series.live)
 }
 
 func (table *claimTable) load(form stored) {
