Give a silent owner's group only to VMs that it knows

Cause: a VM that is not in the settings of a cut-off owner, reaches the leader and does not reach the owner got the owner's group, while the owner went on by the consent of the VMs it knew: two owners. Change: renewals carry a hash of the zone's VMs in the settings and the VMs that have not heard of the sender; an assignment keeps the owner's hash. The leader reassigns a silent owner's group only to a VM with the same hash, or to one of which the owner has heard. Ruled out: eligibility by introduction alone, which leaves a group without an owner if the other VM of a zone of two restarts just after the owner is lost. Conclusion: what remains is an operator who takes a running, cut-off VM out of the settings.

--- a/internal/session/convert.go
+++ b/internal/session/convert.go
@@ -18,6 +18,10 @@
 		Sequence: message.GetSequence(),
 		Answered: message.GetAnswered(),
 		Draining: message.GetDraining(),
+		ZoneHash: message.GetZoneHash(),
+	}
+	for _, vm := range message.GetStrangers() {
+		renewal.Strangers = append(renewal.Strangers, core.VMID(vm))
 	}
 	for _, demand := range message.GetGroups() {
 		renewal.Demands = append(renewal.Demands, lease.Demand{
@@ -45,6 +49,14 @@
 	return messages
 }
 
+func namesOf(vms []core.VMID) []string {
+	var names []string
+	for _, vm := range vms {
+		names = append(names, string(vm))
+	}
+	return names
+}
+
 func numbersOf(message *wire.Renew) lease.Numbers {
 	return lease.Numbers{Config: core.ConfigNumber(message.GetConfigNumber()), Directory: message.GetDirectoryNumber()}
 }
--- a/internal/session/node.go
+++ b/internal/session/node.go
@@ -44,12 +44,9 @@
 func NewNode(now time.Time, self lease.Member, zone core.ZoneID, others []core.VMID, budget lease.Budget) *Node {
 	node := &Node{
 		self: self, zone: zone,
-		holder:     lease.NewHolder(now, self, budget),
+		holder:     lease.NewHolder(now, self, budget, others...),
 		suspicions: make(map[core.Fingerprint]ledger.Suspicion),
 	}
-	for _, other := range others {
-		node.holder.Meet(now, other)
-	}
 	node.book.Store(admission.NewBook(core.Config{}))
 	return node
 }
@@ -63,11 +60,13 @@
 		number = 0
 	}
 	sequence, answered := node.holder.Send(now)
+	zoneHash, strangers := node.holder.Acquaintance()
 	return &wire.Renew{
 		Vm: string(node.self.VM), Zone: string(node.zone), Incarnation: string(node.self.Incarnation),
 		ConfigNumber: uint64(number), DirectoryNumber: node.holder.Directory(),
 		Groups: demandMessages(node.reported(demands)), Draining: node.holder.Draining(),
 		Sequence: sequence, Answered: answered,
+		ZoneHash: zoneHash, Strangers: namesOf(strangers),
 	}
 }
 
--- a/pkg/replica/lease/holder.go
+++ b/pkg/replica/lease/holder.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -29,6 +31,7 @@
 	// other VMs of the zone.
 	highest  map[core.GroupID]core.FencingToken
 	draining bool
+	zoneHash uint64
 	consent  consent
 	takeover map[core.GroupID]taken
 }
@@ -48,10 +51,11 @@
 // could extend no lease.
 const sentLimit = 2 * Length
 
-// NewHolder returns the holder of a VM that has just started. It accepts no
+// NewHolder returns the holder of a VM that has just started. Others are the other
+// VMs of its zone in its settings. It accepts no
 // ownership at first, because an earlier run of the VM may have consented.
-func NewHolder(now time.Time, self Member, budget Budget) *Holder {
-	return &Holder{
+func NewHolder(now time.Time, self Member, budget Budget, others ...core.VMID) *Holder {
+	holder := &Holder{
 		self:     self,
 		budget:   budget,
 		started:  now,
@@ -61,6 +65,26 @@
 		consent:  newConsent(now),
 		takeover: make(map[core.GroupID]taken),
 	}
+	for _, other := range others {
+		holder.Meet(now, other)
+	}
+	holder.zoneHash = hashZone(append(holder.Others(), self.VM))
+	return holder
+}
+
+func hashZone(vms []core.VMID) uint64 {
+	slices.Sort(vms)
+	sum := fnv.New64a()
+	for _, vm := range vms {
+		_, _ = sum.Write([]byte(string(vm) + "\x00"))
+	}
+	return sum.Sum64()
+}
+
+// Acquaintance returns the hash of the zone's VMs in the settings, and the VMs of the
+// zone that have not heard of this run.
+func (holder *Holder) Acquaintance() (zoneHash uint64, strangers []core.VMID) {
+	return holder.zoneHash, holder.strangers()
 }
 
 // Send returns the sequence of the renewal that is sent now, and the largest
--- a/pkg/replica/lease/leader.go
+++ b/pkg/replica/lease/leader.go
@@ -20,6 +20,10 @@
 	// Draining states that this member holds nothing and never will again.
 	Draining bool
 	Demands  []Demand
+	// ZoneHash stands for the VMs of the zone in the VM's settings, and Strangers are
+	// those that have not heard of this run of the VM.
+	ZoneHash  uint64
+	Strangers []core.VMID
 }
 
 // Grant is the answer to a renewal. Without Granted the VM gets no lease.
@@ -59,6 +63,9 @@
 	acked    time.Time
 	draining bool
 	demands  map[core.GroupID]Demand
+	zoneHash uint64
+	// strangers are the VMs of the zone that may not know of this one.
+	strangers []core.VMID
 }
 
 // move is an assignment whose outcome is not known yet.
@@ -115,6 +122,8 @@
 
 func (current *session) record(now time.Time, renewal Renewal) {
 	current.zone = renewal.Zone
+	current.zoneHash = renewal.ZoneHash
+	current.strangers = renewal.Strangers
 	current.seen = now
 	current.sequence = renewal.Sequence
 	current.draining = current.draining || renewal.Draining
@@ -305,7 +314,7 @@
 }
 
 func (leader *Leader) propose(now time.Time, owned ledger.Ownership, owners Owners) (ledger.Assign, bool) {
-	to, ok := leader.pick(now, owned.Group, owners)
+	to, ok := leader.pick(now, owned, owners)
 	if !ok {
 		return ledger.Assign{}, false
 	}
@@ -314,6 +323,9 @@
 
 func (leader *Leader) begin(now time.Time, owned ledger.Ownership, to Member) ledger.Assign {
 	assign := ledger.Assign{Group: owned.Group, VM: to.VM, Incarnation: to.Incarnation, Previous: owned.Token}
+	if current, ok := leader.sessions[to]; ok {
+		assign.ZoneHash = current.zoneHash
+	}
 	from := memberOf(owned)
 	if from == to {
 		from = Member{} // a fresh token for the same owner takes nothing away
--- a/pkg/replica/lease/spread.go
+++ b/pkg/replica/lease/spread.go
@@ -2,16 +2,19 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
 // pick chooses the VM of the group's zone for the group by rendezvous hashing.
 // VMs that already have their part of the zone's groups come last, so that a few
 // groups don't gather on one VM.
-func (leader *Leader) pick(now time.Time, group core.GroupID, owners Owners) (Member, bool) {
-	candidates := leader.candidates(now, group.Zone)
+func (leader *Leader) pick(now time.Time, owned ledger.Ownership, owners Owners) (Member, bool) {
+	group := owned.Group
+	candidates := slices.DeleteFunc(leader.candidates(now, group.Zone), func(member Member) bool { return !leader.known(member, owned) })
 	if len(candidates) == 0 {
 		return Member{}, false
 	}
@@ -31,6 +34,18 @@
 	return best, found
 }
 
+// known reports whether the silent owner asks the member for consent while it is cut
+// off: both have the same VMs in their settings, or the owner has heard of the
+// member. A group that was given up, or never had an owner, may go to any member. An
+// owner that the member's settings don't list was removed by the operator.
+func (leader *Leader) known(member Member, owned ledger.Ownership) bool {
+	current := leader.sessions[member]
+	if owned.VM == "" || owned.VM == member.VM || leader.drained(memberOf(owned)) {
+		return true
+	}
+	return current.zoneHash == owned.ZoneHash || !slices.Contains(current.strangers, owned.VM)
+}
+
 // candidates returns the newest live member of each VM of the zone.
 func (leader *Leader) candidates(now time.Time, zone core.ZoneID) []Member {
 	newest := make(map[core.VMID]Member)
--- a/pkg/replica/lease/world_property_test.go
+++ b/pkg/replica/lease/world_property_test.go
@@ -25,6 +25,27 @@
 	})
 }
 
+// TestVMUnknownToOwner guards against a second owner when a VM that is in nobody's
+// settings starts while it reaches the leader only, and the owner reaches neither.
+func TestVMUnknownToOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		world := newWorld(t)
+		for range 16 {
+			world.advance()
+		}
+		world.cutAll(true)
+		old := world.names()
+		world.start("vm-9")
+		for _, vm := range old {
+			world.apart[pair("vm-9", vm)] = true
+		}
+		for range 40 {
+			world.advance()
+			world.check()
+		}
+	})
+}
+
 // advance moves the time and lets every running VM and the leader do their work.
 func (world *world) advance() {
 	step := rapid.SampledFrom([]time.Duration{1, 100, 250, 250, 250, 500, 900}).Draw(world.t, "step")
--- a/pkg/replica/lease/world_test.go
+++ b/pkg/replica/lease/world_test.go
@@ -71,12 +71,9 @@
 func (world *world) start(vm core.VMID) {
 	world.runs++
 	self := Member{vm, core.Incarnation(fmt.Sprint(world.runs))}
-	one := &machine{holder: NewHolder(world.now, self, world.budget)}
+	one := &machine{holder: NewHolder(world.now, self, world.budget, world.names()...)}
 	one.demands = []Demand{{Group: plainGroup, Wanted: true, Loads: 1}, {Group: fencedGroup, Wanted: true, Loads: 2, ChecksFencing: true}}
 	world.vms[vm] = one
-	for _, other := range world.names() {
-		one.holder.Meet(world.now, other)
-	}
 }
 
 func (world *world) names() []core.VMID {
@@ -103,7 +100,7 @@
 	owners := maps.Clone(world.owners)
 	owners[assign.Group] = ledger.Ownership{
 		Group: assign.Group, VM: assign.VM, Incarnation: assign.Incarnation,
-		Token: core.FencingToken(world.index << ledger.FencingShift),
+		Token: core.FencingToken(world.index << ledger.FencingShift), ZoneHash: assign.ZoneHash,
 	}
 	world.owners = owners
 }
@@ -127,6 +124,7 @@
 		Member: one.holder.self, Zone: "a", Sequence: sequence, Answered: answered,
 		Draining: one.holder.Draining(), Demands: world.demandsOf(one),
 	}
+	renewal.ZoneHash, renewal.Strangers = one.holder.Acquaintance()
 	if !world.cutTo[vm] {
 		world.deliver(func() { world.receive(one, renewal) })
 	}
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -76,6 +76,8 @@
 	// Previous is the token that the assignment replaces; zero for a new group.
 	// The command has no effect if the current token is another one.
 	Previous core.FencingToken
+	// ZoneHash stands for the VMs of the zone that the owner asks for consent.
+	ZoneHash uint64 `json:",omitempty"`
 }
 
 // FencingShift leaves room below the index for the counter of a cut-off zone.
@@ -87,6 +89,8 @@
 	VM          core.VMID
 	Incarnation core.Incarnation
 	Token       core.FencingToken
+	// ZoneHash is that of the assignment.
+	ZoneHash uint64 `json:",omitempty"`
 }
 
 // AssignResult is the answer to Assign: the ownership now in force.
--- a/pkg/replica/ledger/owner.go
+++ b/pkg/replica/ledger/owner.go
@@ -16,7 +16,7 @@
 	}
 	next := Ownership{
 		Group: assign.Group, VM: assign.VM, Incarnation: assign.Incarnation,
-		Token: core.FencingToken(index << FencingShift),
+		Token: core.FencingToken(index << FencingShift), ZoneHash: assign.ZoneHash,
 	}
 	state.owners[assign.Group] = next
 	state.directory = index
