--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -195,6 +195,36 @@
 	done
 }
 
+# audit ends the VMs in order, verifies the audit log, and compares it with what the
+# upstreams ran.
+step_audit() {
+	local vm folders=() journals=()
+	for vm in "${vm_names[@]}"; do
+		! .bin/dandelionring audit configs --operator "${addresses[$vm/operator]}" >"$run_dir/configs.json" 2>/dev/null || break
+	done
+	stop_vms none
+	stop_vms disk
+	for vm in "${vm_names[@]}"; do [ "${disk_of[$vm]}" != disk ] || folders+=(--folder "$run_dir/data-$vm/audit"); done
+	.bin/dandelionring audit verify "${folders[@]}" --history "$run_dir/configs.json" >"$run_dir/audit.txt" 2>&1 || violation Audit "$(head -n 3 "$run_dir/audit.txt" | tr '\n' ' ')"
+	tail -n 1 "$run_dir/audit.txt"
+	.bin/dandelionring audit export "${folders[@]}" >"$run_dir/audit.jsonl" || violation Audit "no export"
+	for vm in "$run_dir"/*.journal; do journals+=(--journal "$vm"); done
+	.bin/standin check --audit "$run_dir/audit.jsonl" "${journals[@]}" >"$run_dir/audit-verdict.json" || violation Audit "$(grep -m 1 violation: "$run_dir/audit-verdict.json" | cut -c1-300)"
+	grep -E 'Runs|Audited' "$run_dir/audit-verdict.json"
+}
+
+# stop_vms disk|none ends the VMs with or without a disk, all at the same time.
+stop_vms() {
+	local vm stops=()
+	for vm in "${vm_names[@]}"; do
+		[ "${disk_of[$vm]}" = "$1" ] || continue
+		stop "$vm" 2>/dev/null &
+		stops+=($!)
+	done
+	wait "${stops[@]}"
+	for vm in "${vm_names[@]}"; do [ "${disk_of[$vm]}" != "$1" ] || unset "pids[$vm]"; done
+}
+
 # recovered SECONDS needs 95 of 100 requests served again within the time.
 step_recovered() {
 	local took
@@ -232,14 +262,15 @@
 	[ "$transit" -le "$1" ] || violation StoreTransit "$transit loads in transit, limit $1"
 }
 
-# repaired NAME SECONDS waits until both shards have taken the VM in as a replica
-# again. It paces the case; the checks do not rely on it.
+# repaired NAME SECONDS waits until the status of the VM says that its replicas of all
+# shards vote again, as an operator does before a second disk may be lost.
 step_repaired() {
 	wait_for "$2" taken_in "$1" || violation Repair "$1 is not a replica again after $2 s"
 }
 
 taken_in() {
-	[ "$(cat "$run_dir"/vm-*.err | grep 'Changed the group of replicas' | grep -c "replica=\"\{0,1\}$1")" -ge 2 ]
+	curl -sS --max-time 3 -H 'Authorization: Bearer development' "http://${addresses[$1/operator]}/admin/v1/status" |
+		grep -o "\"VM\":\"$1\"[^}]*\"Replica\":\"voter\"" >/dev/null
 }
 
 # put_until_known VM NUMBER LIST sends a change of the plans until its answer is
