Compare announcements with slots in linear time

An announcement of 4,096 resident adapters took 16 million comparisons under the owner's lock; the adapters of a report are now looked up once. 40,000 rapid cases pass.

--- a/pkg/policy/scheduler/scheduler.go
+++ b/pkg/policy/scheduler/scheduler.go
@@ -32,6 +32,9 @@
 	runs      []assignment
 	freeRuns  []int32
 	attempts  map[core.AttemptID]int32
+	// reported is used by reconcile alone: the adapters of a report that no slot was
+	// found for yet, and their running calls.
+	reported map[int32]int
 	// demands holds adapters that calls wait for and that may be loaded now,
 	// delayed those whose load failed lately, and cold those that are resident
 	// nowhere, the most popular first.
@@ -97,6 +100,7 @@
 		budget:   budget.New(config.Budget, start),
 		index:    make(map[core.UpstreamID]int32),
 		attempts: make(map[core.AttemptID]int32),
+		reported: make(map[int32]int),
 		actions:  make([]Action, 0, firstActions),
 	}
 }
--- a/pkg/policy/scheduler/slot.go
+++ b/pkg/policy/scheduler/slot.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -143,13 +144,18 @@
 // an order after the report was made keep their state.
 func (scheduler *Scheduler) reconcile(at int32, announcement *core.Announcement, now time.Time) {
 	report := now.Add(-announcement.ReportAge - reportMargin)
+	scheduler.note(announcement.Resident)
 	slots := scheduler.upstreams[at].slots
 	for i := range slots {
 		slot := &slots[i]
-		if slot.adapter == none || slot.changed.After(report) {
+		if slot.adapter == none {
+			continue
+		}
+		running, resident := scheduler.reported[slot.adapter]
+		delete(scheduler.reported, slot.adapter)
+		if slot.changed.After(report) {
 			continue
 		}
-		running, resident := find(announcement.Resident, scheduler.names.Name(slot.adapter))
 		scheduler.correct(at, int32(i), resident, now)
 		if slot.foreign > 0 && !slot.foreignAt.After(report) {
 			slot.foreign = min(slot.foreign, running)
@@ -164,13 +170,15 @@
 	}
 }
 
-func find(list []core.Resident, name core.AdapterVersion) (running int, found bool) {
+// note enters the adapters of a report into reported, with the calls that run. The
+// ids may be new; they are held by no slot until adopt.
+func (scheduler *Scheduler) note(list []core.Resident) {
+	clear(scheduler.reported)
 	for _, resident := range list {
-		if resident.AdapterVersion == name {
-			return resident.Running, true
+		if id := scheduler.adapter(resident.AdapterVersion); id != none {
+			scheduler.reported[id] = resident.Running
 		}
 	}
-	return 0, false
 }
 
 // correct sets a slot to what the engine reports.
@@ -194,29 +202,24 @@
 	}
 }
 
-// adopt takes over a copy that the owner did not order, such as one from before
-// it owned the group.
+// adopt takes over a copy that no slot holds, such as one from before this VM owned
+// the group.
 func (scheduler *Scheduler) adopt(at int32, resident core.Resident, now time.Time) {
-	slots := scheduler.upstreams[at].slots
-	vacant := none
-	for i := range slots {
-		slot := &slots[i]
-		if slot.adapter != none && scheduler.names.Name(slot.adapter) == resident.AdapterVersion {
-			return
-		}
-		if slot.state == slotFree && vacant == none {
-			vacant = int32(i)
-		}
+	id, known := scheduler.names.Find(resident.AdapterVersion)
+	if !known {
+		return
 	}
-	if vacant == none {
+	if _, unheld := scheduler.reported[id]; !unheld {
 		return
 	}
-	id := scheduler.adapter(resident.AdapterVersion)
-	if id == none {
+	delete(scheduler.reported, id)
+	slots := scheduler.upstreams[at].slots
+	vacant := slices.IndexFunc(slots, func(slot slot) bool { return slot.state == slotFree })
+	if vacant < 0 {
 		return
 	}
-	scheduler.occupy(at, vacant, id, slotUncertain, now)
+	scheduler.occupy(at, int32(vacant), id, slotUncertain, now)
 	slot := &slots[vacant]
 	slot.foreign, slot.foreignAt, slot.used = resident.Running, now, true
-	scheduler.confirm(at, vacant, now)
+	scheduler.confirm(at, int32(vacant), now)
 }
