Stop sends to an upstream that refuses connections

A refused or timed-out connection proves that the call did not run, but the scheduler learned of it only from the lease of 3 s or the ejection at the next announcement, so waiting calls failed on it one after the other. The upstream now counts as lost until its next announcement. An ejection is looked at after each failure as well.

--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -136,7 +136,7 @@
 		stage.mutex.Unlock()
 	case "release":
 		stage.owner.Release(groupOf(nil))
-	case "ok", "fail", "full", "broken", "crashed", "missing":
+	case "ok", "fail", "full", "broken", "crashed", "refused", "missing":
 		stage.answer(t, name, answers[fields[0]])
 	default:
 		t.Fatalf("unknown step %q", fields[0])
@@ -149,6 +149,7 @@
 	"full":    upstream.ErrNoSlot,
 	"broken":  &upstream.CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: errors.New("broken")},
 	"crashed": &upstream.CallError{Outcome: core.Unknown, Code: core.CodeUpstreamFailed, Lost: true, Crashed: true, Err: errors.New("crashed")},
+	"refused": &upstream.CallError{Outcome: core.NotRun, Code: core.CodeUpstreamFailed, Lost: true, Err: errors.New("connection refused")},
 	"missing": &upstream.CallError{Outcome: core.NotRun, Code: core.CodeAdapterUnavailable, Err: errors.New("not resident")},
 }
 
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -169,6 +169,9 @@
 // settle ends a call at the scheduler. If its stream broke, the engine may still run
 // it, so the engine is asked to end it before the pin is given up.
 func (owner *Owner) settle(group *group, call core.Call, address string, action scheduler.Action, failure *upstream.CallError) {
+	if failure != nil && failure.Lost && (failure.Outcome == core.NotRun || owner.upstreams.Ejected(address)) {
+		owner.unreachable(group, action)
+	}
 	switch {
 	case failure == nil || failure.Outcome == core.NotRun || group.id.Kind == core.ServiceGroup:
 		if failure != nil && failure.Code == core.CodeAdapterUnavailable {
@@ -208,6 +211,16 @@
 	owner.act(group, now)
 }
 
+// unreachable takes in that an upstream could not be reached, or failed so often that
+// it is ejected. It gets no new work before its next announcement is accepted.
+func (owner *Owner) unreachable(group *group, action scheduler.Action) {
+	owner.mutex.Lock()
+	defer owner.mutex.Unlock()
+	now := time.Now()
+	group.scheduler.Lose(action.Upstream, action.Incarnation, now)
+	owner.act(group, now)
+}
+
 func (owner *Owner) absent(group *group, action scheduler.Action) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
