Decode the events of a chunk together

Cause: decoding each event took 9 % of the processor time of a whole answer (profile of the forwarded way). Ruled out: a scanner of our own for the text.

--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -102,29 +102,42 @@
 	whole.reason, whole.tokens = "", 0
 }
 
-// Data collects the text of whole events.
+// Data collects the text of whole events. They are decoded together, as one array,
+// since the decoder's own state costs more than an event.
 func (whole *wholeResponder) Data(data []byte) error {
+	array := make([]byte, 0, len(data)+1)
 	for line := range bytes.SplitSeq(data, []byte("\n")) {
 		payload, ok := bytes.CutPrefix(line, []byte("data: "))
 		if !ok {
 			continue
 		}
-		var parsed event
-		if err := json.Unmarshal(payload, &parsed); err != nil {
-			return errors.Wrap(err, "decode event of the upstream")
-		}
-		for _, choice := range parsed.Choices {
-			whole.text.WriteString(choice.Text)
-			whole.text.WriteString(choice.Delta.Content)
-			if choice.FinishReason != "" {
-				whole.reason = choice.FinishReason
-			}
-		}
-		whole.tokens++
+		array = append(append(array, ','), payload...)
+	}
+	if len(array) == 0 {
+		return nil
+	}
+	array[0] = '['
+	var events []event
+	if err := json.Unmarshal(append(array, ']'), &events); err != nil {
+		return errors.Wrap(err, "decode events of the upstream")
+	}
+	for _, event := range events {
+		whole.collect(event)
 	}
 	return nil
 }
 
+func (whole *wholeResponder) collect(event event) {
+	for _, choice := range event.Choices {
+		whole.text.WriteString(choice.Text)
+		whole.text.WriteString(choice.Delta.Content)
+		if choice.FinishReason != "" {
+			whole.reason = choice.FinishReason
+		}
+	}
+	whole.tokens++
+}
+
 type wholeAnswer struct {
 	ID      string        `json:"id"`
 	Object  string        `json:"object"`
