--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -9,8 +9,12 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/dandelionring/dandelionring/internal/bench/audit"
+	"github.com/dandelionring/dandelionring/internal/bench/claims"
+	"github.com/dandelionring/dandelionring/internal/bench/config"
 	"github.com/dandelionring/dandelionring/internal/bench/path"
 	"github.com/dandelionring/dandelionring/internal/bench/policy"
+	"github.com/dandelionring/dandelionring/internal/bench/restart"
 )
 
 // benchmark prints figures, one a line, and returns false if one misses its bound.
@@ -28,6 +32,10 @@
 	{"placement", figures(policy.Placement)},
 	{"batching", figures(policy.Batching)},
 	{"path", path.Run},
+	{"config", config.Run},
+	{"audit", audit.Run},
+	{"membership", claims.Run},
+	{"membership", restart.Run},
 }
 
 func main() {
