Let the stand-in engine publish the prefix hashes that VMs compute

Cause: the engine hashed 64-byte blocks with FNV, the VM 256-byte blocks with xxHash64, so no cache event ever matched a request. Change: one definition, in docs/interfaces.md; the load tool's prompts share 512 bytes per adapter. Ruled out: the VM following the engine's first hash, since its own is already used by the router's tests. Conclusion: prefix affinity can work against the stand-in; not measured yet.

--- a/standin/cmd/standin/serve.go
+++ b/standin/cmd/standin/serve.go
@@ -87,7 +87,7 @@
 	sub.Duration(&settings.LoadTime, "", "load-time", "time of a load without a store")
 	sub.Bool(&settings.ChecksFencing, "", "checks-fencing", "refuse orders with an old fencing token")
 	sub.Bool(&noResume, "", "no-resume", "refuse to resume streams")
-	sub.Int(&settings.PrefixBlocks, "", "prefix-blocks", "memory of the prefix cache in blocks of 64 bytes")
+	sub.Int(&settings.PrefixBlocks, "", "prefix-blocks", "memory of the prefix cache in blocks of 256 bytes")
 	sub.Int(&settings.PrefillBlocks, "", "prefill-blocks", "uncached blocks processed in one step; 0 for no limit")
 	sub.Duration(&settings.EventDelay, "", "event-delay", "age of published cache events")
 	sub.Float64(&settings.EventLoss, "", "event-loss", "share of cache events that is lost")
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -71,7 +71,7 @@
 	for len(engine.batch) < engine.settings.BatchSize && len(engine.queue) > 0 {
 		next := engine.queue[0]
 		engine.queue = engine.queue[1:]
-		missing := engine.cache.use(Prefixes(next.av, next.prompt.Text))
+		missing := engine.cache.use(next.av, next.prompt.Prefixes)
 		if engine.settings.PrefillBlocks > 0 {
 			next.prefill = missing / engine.settings.PrefillBlocks
 		}
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -1,12 +1,13 @@
 package engine
 
 import (
-	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -19,35 +20,46 @@
 	maxTokens core.Tokens = 16384
 	// CrashMarker in a prompt makes the engine exit while it runs the request.
 	CrashMarker = "crash-engine"
-	// prefixBlock is the length in bytes of one block of the prefix cache.
-	prefixBlock = 64
+	// prefixBlock is the length in bytes of one block of the prefix cache, and
+	// maxPrefixes the number of blocks of a prompt that are cached.
+	prefixBlock = 256
+	maxPrefixes = 16
 )
 
 // Prompt is the part of a request's body that decides the answer.
 type Prompt struct {
 	Text   string
 	Tokens core.Tokens
+	// Prefixes are the hashes of the prompt's prefixes, the shortest first.
+	Prefixes []uint64
+}
+
+// message is one message of a chat request.
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
 }
 
 // ParsePrompt reads the prompt from the body of a chat or completion request.
 func ParsePrompt(body []byte) (Prompt, error) {
 	var request struct {
-		Messages []struct {
-			Role    string `json:"role"`
-			Content string `json:"content"`
-		} `json:"messages"`
-		Prompt    string      `json:"prompt"`
-		MaxTokens core.Tokens `json:"max_tokens"`
+		Messages  []message       `json:"messages"`
+		Prompt    json.RawMessage `json:"prompt"`
+		MaxTokens core.Tokens     `json:"max_tokens"`
 	}
 	if err := json.Unmarshal(body, &request); err != nil {
 		return Prompt{}, errors.Wrap(err, "decode request")
 	}
-	var text strings.Builder
-	text.WriteString(request.Prompt)
-	for _, message := range request.Messages {
-		text.WriteString(message.Role + ": " + message.Content + "\n")
+	parts := [][]byte{request.Prompt}
+	text := plain(request.Prompt)
+	for i, message := range request.Messages {
+		if i == 0 {
+			parts = nil
+		}
+		parts = append(parts, []byte(message.Role), message.Content)
+		text += message.Role + ": " + plain(message.Content) + "\n"
 	}
-	prompt := Prompt{Text: text.String(), Tokens: request.MaxTokens}
+	prompt := Prompt{Text: text, Tokens: request.MaxTokens, Prefixes: prefixes(parts)}
 	if prompt.Tokens <= 0 {
 		prompt.Tokens = DefaultTokens
 	}
@@ -55,6 +67,30 @@
 	return prompt, nil
 }
 
+// plain returns the text of a JSON string, or the JSON itself if it is none.
+func plain(content json.RawMessage) string {
+	var text string
+	if json.Unmarshal(content, &text) != nil {
+		return string(content)
+	}
+	return text
+}
+
+// prefixes returns the xxHash64 of the bytes of the parts up to each multiple of 256
+// bytes, for at most 16 of them, as docs/interfaces.md describes it.
+func prefixes(parts [][]byte) []uint64 {
+	digest := xxhash.New()
+	var hashes []uint64
+	bytes := slices.Concat(parts...)
+	for len(bytes) >= prefixBlock && len(hashes) < maxPrefixes {
+		// Write never fails, see hash.Hash.
+		_, _ = digest.Write(bytes[:prefixBlock])
+		hashes = append(hashes, digest.Sum64())
+		bytes = bytes[prefixBlock:]
+	}
+	return hashes
+}
+
 // Token returns the token at the offset of the answer.
 func Token(av core.AdapterVersion, prompt string, offset core.Tokens) string {
 	sum := fnv.New32a()
@@ -70,18 +106,3 @@
 	}
 	return text.String()
 }
-
-// Prefixes returns the hashes of the prompt's prefixes, the shortest first: the
-// FNV-1a hash of adapter, zero byte, version, zero byte and each multiple of 64
-// bytes of the prompt.
-func Prefixes(av core.AdapterVersion, prompt string) []uint64 {
-	sum := fnv.New64a()
-	fmt.Fprintf(sum, "%s\x00%s\x00", av.Adapter, av.Version)
-	var hashes []uint64
-	for len(prompt) >= prefixBlock {
-		sum.Write([]byte(prompt[:prefixBlock]))
-		hashes = append(hashes, binary.BigEndian.Uint64(sum.Sum(nil)))
-		prompt = prompt[prefixBlock:]
-	}
-	return hashes
-}
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -185,7 +185,7 @@
 	}
 	text := settings.Content
 	if text == "" {
-		text = fmt.Sprintf("%0128s request %s", next.av.Adapter, next.id)
+		text = fmt.Sprintf("%0512s request %s", next.av.Adapter, next.id)
 	}
 	next.prompt = engine.Prompt{Text: "user: " + text + "\n", Tokens: settings.Tokens}
 	next.recorded = Record{ID: next.id, Kind: next.kind, Key: next.key, Content: string(next.key)}
