Bound the work of a long cut and test a failed write

Cause: each new record scanned all buffered ones; a failed write had no test; the tables of the burn report shared their columns. Ruled out: a larger queue, since 131,072 records would take most of the 128 MB of a node by calculation.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -93,6 +93,9 @@
 	open   int
 	queue  []*item
 	copies []*item
+	// held is the number of records at the front of the queue that are buffered, so
+	// that a long cut does not scan them again for each new record.
+	held int
 	// failed holds the VMs that did not take records when last asked.
 	failed map[core.VMID]bool
 	drops  uint64
--- a/internal/auditor/ship.go
+++ b/internal/auditor/ship.go
@@ -175,6 +175,7 @@
 	delivered.Add(len(batch))
 	auditor.mutex.Lock()
 	auditor.queue = auditor.queue[len(batch):]
+	auditor.held = max(0, auditor.held-len(batch))
 	for _, item := range batch {
 		item.holder = holder
 	}
@@ -212,8 +213,11 @@
 func (auditor *Auditor) unheld() []*item {
 	auditor.mutex.Lock()
 	defer auditor.mutex.Unlock()
+	for auditor.held < len(auditor.queue) && auditor.queue[auditor.held].held {
+		auditor.held++
+	}
 	var batch []*item
-	for _, item := range auditor.queue {
+	for _, item := range auditor.queue[auditor.held:] {
 		if !item.held && len(batch) < batchRecords {
 			batch = append(batch, item)
 		}
--- a/pkg/audit/writer_test.go
+++ b/pkg/audit/writer_test.go
@@ -134,6 +134,25 @@
 	is.Equal(writer.Append(context.Background(), Payload("{}")), ErrClosed)
 }
 
+// TestFailedWrite guards against a writer that goes on after a failed write, when
+// nobody knows what its file holds.
+func TestFailedWrite(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	writer, closeWriter, err := Open(folder, Options{VM: "vm-1"})
+	is.NoErr(err)
+	is.NoErr(writer.Append(context.Background(), mustEncode(t, testRecord(1))))
+	is.NoErr(writer.log.file.Close()) // as a disk that fails
+	first := writer.Append(context.Background(), mustEncode(t, testRecord(2)))
+	is.True(first != nil)
+	is.Equal(writer.Append(context.Background(), mustEncode(t, testRecord(3))), first)
+	closeWriter()
+	report, err := Verify([]string{folder}, Scope{Partial: true})
+	is.NoErr(err)
+	is.True(report.Sound())
+	is.Equal(report.Records, 1)
+}
+
 // TestRetention guards against files that are kept for ever, and against a removal
 // that Verify takes for a loss.
 func TestRetention(t *testing.T) {
--- a/pkg/burn/text.go
+++ b/pkg/burn/text.go
@@ -37,6 +37,7 @@
 		for _, objective := range plan.Objectives {
 			objective.writeRow(table)
 		}
+		fmt.Fprintln(table) // ends the columns of the table above
 		for _, objective := range plan.Objectives {
 			objective.writeUses(table)
 		}
