--- a/internal/bench/audit/path.go
+++ b/internal/bench/audit/path.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,10 @@
 	benchKey = "bench-key"
 	// answerTokens is the length of each answer.
 	answerTokens = 32
+	// engines is the number of deployment 1. With one engine, more calls run at once
+	// than the client keeps idle connections for (64), and the measured cost is that of
+	// new connections.
+	engines = 20
 )
 
 // recorder is what entry asks of an audit log.
@@ -63,11 +68,12 @@
 // Ready returns true.
 func (state) Ready() bool { return true }
 
-// direct sends every call to one engine. It stands in for the owner's tables, so
+// direct sends the calls to the engines in turn. It stands in for the owner's tables, so
 // that the measured path is short and the share of the audit log large.
 type direct struct {
-	client  *upstream.Client
-	address string
+	client    *upstream.Client
+	addresses []string
+	turn      *atomic.Uint64
 }
 
 // Dispatcher returns the one dispatcher.
@@ -75,7 +81,8 @@
 
 // Serve runs the call at the engine.
 func (direct direct) Serve(ctx context.Context, call core.Call, send func(core.Chunk) error) core.End {
-	tokens, err := direct.client.Run(ctx, direct.address, call, 1, send)
+	address := direct.addresses[direct.turn.Add(1)%uint64(len(direct.addresses))]
+	tokens, err := direct.client.Run(ctx, address, call, 1, send)
 	if err != nil {
 		return core.End{Attempt: call.Attempt, Outcome: core.Unknown, Code: core.CodeUpstreamFailed, Message: err.Error()}
 	}
@@ -96,22 +103,35 @@
 
 var engineAnswer = strings.Repeat(`data: {"choices":[{"index":0,"delta":{"content":"word "}}]}`+"\n\n", answerTokens) + "data: [DONE]\n\n"
 
-// newPath starts the callers' interface, the entry and an engine, and returns the
+// newPath starts the callers' interface, the entry and the engines, and returns the
 // address for callers.
 func newPath(recorder recorder) (string, func()) {
-	engine := httptest.NewServer(http.HandlerFunc(serveEngine))
 	client, closeClient := upstream.NewClient()
+	addresses, closeEngines := startEngines()
 	state := state{admission.NewBook(benchConfig())}
 	requests := entry.New(entry.Parts{
 		VM: "vm-1", Zone: "a", Incarnation: "i1", DefaultDeadline: 10 * time.Second, ClaimHold: time.Minute,
 		Books: state, Directory: state, Claims: state, Suspects: state, Recorder: recorder, Logger: silent(),
-		Dispatchers: direct{client, strings.TrimPrefix(engine.URL, "http://")},
+		Dispatchers: direct{client, addresses, new(atomic.Uint64)},
 	})
 	server := httptest.NewServer(caller.New(requests, state, 1<<20).Router())
 	return server.URL, func() {
 		server.Close()
 		closeClient()
-		engine.Close()
+		closeEngines()
+	}
+}
+
+func startEngines() (addresses []string, closeAll func()) {
+	servers := make([]*httptest.Server, engines)
+	for i := range servers {
+		servers[i] = httptest.NewServer(http.HandlerFunc(serveEngine))
+		addresses = append(addresses, strings.TrimPrefix(servers[i].URL, "http://"))
+	}
+	return addresses, func() {
+		for _, server := range servers {
+			server.Close()
+		}
 	}
 }
 
