--- a/internal/vm/status.go
+++ b/internal/vm/status.go
@@ -173,7 +173,7 @@
 		LeaseMillis: max(0, upstreamLease-now.Sub(announced.At)).Milliseconds(),
 	}
 	for _, resident := range announced.Resident {
-		message.Resident = append(message.Resident, resident.AdapterVersion.String())
+		message.Resident = append(message.Resident, resident.String())
 	}
 	return message
 }
