Fix the order in which the owner's test prints concurrent events

Change: orders are printed before answers; the order within each kind is still compared. Ruled out: a fault of the owner; the same events came in both runs.

--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -96,11 +97,22 @@
 	}
 	stage.mutex.Lock()
 	defer stage.mutex.Unlock()
+	// Orders are jobs of the pool and answers come from the goroutine of the request,
+	// so the order between the two kinds is not fixed; the order within each kind is.
+	slices.SortStableFunc(stage.events, func(a, b string) int { return cmp.Compare(kindOf(a), kindOf(b)) })
 	events := strings.Join(stage.events, "\n")
 	stage.events = nil
 	return events
 }
 
+// kindOf is 0 for orders and runs, and 1 for answers.
+func kindOf(event string) int {
+	if strings.Contains(event, " token=") {
+		return 0
+	}
+	return 1
+}
+
 func arguments(data *datadriven.TestData) []string {
 	var words []string
 	for _, argument := range data.CmdArgs {
