--- a/internal/entry/audit.go
+++ b/internal/entry/audit.go
@@ -10,6 +10,7 @@
 
 // auditStart returns after the start of the attempt is on a disk, or refuses.
 func (run *run) auditStart(ctx context.Context) *core.Refusal {
+	run.audited = true
 	if err := run.entry.Recorder.Start(ctx, run.auditRecord(audit.EventStart)); err != nil {
 		return core.Refuse(core.CodeAuditUnavailable, "the audit record could not be written: "+err.Error())
 	}
@@ -28,6 +29,13 @@
 	run.entry.Recorder.End(record)
 }
 
+// auditRefused records a request that was admitted and refused before any attempt.
+func (run *run) auditRefused(end core.End) {
+	record := run.auditRecord(audit.EventRefused)
+	record.Outcome, record.Code = end.Outcome.String(), end.Code
+	run.entry.Recorder.End(record)
+}
+
 func (run *run) auditRecord(event audit.Event) audit.Record {
 	return audit.Record{
 		At:         time.Now().UnixMilli(),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -130,7 +130,11 @@
 		answer:    Answer{Request: core.RequestID(ulid.Make().String()), Pin: admitted.Pin, Config: book.Number(), ConfigAge: age},
 	}
 	running.fingerprint = request.fingerprint(plan.Customer, admitted.Pin.Adapter)
-	return running.serve(ctx)
+	end := running.serve(ctx)
+	if !running.audited && !end.Whole {
+		running.auditRefused(end)
+	}
+	return end
 }
 
 func admit(book *admission.Book, plan core.Plan, request Request) (admission.Admitted, *core.Refusal) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -26,6 +26,8 @@
 	life        *attempt.Life
 	recorded    recordedAnswer
 	pace        pace
+	// audited is set once an attempt has an audit record.
+	audited bool
 	// headed is set once the caller got the head.
 	headed bool
 	// verdict is set if the current attempt gave a chunk that must not be passed on.
--- a/internal/vm/drain.go
+++ b/internal/vm/drain.go
@@ -17,9 +17,9 @@
 func (vm *vm) drain(servers servers) error {
 	vm.ready.Store(false)
 	vm.logger.Info("Draining.")
+	time.Sleep(vm.settings.ReadyGraceSeconds.Duration())
 	ctx, cancel := vm.drainContext()
 	defer cancel()
-	wait(ctx, vm.settings.ReadyGraceSeconds.Duration())
 	vm.handOver(ctx)
 	if err := servers.callers(ctx); err != nil {
 		vm.logger.Error("Requests of callers cut off at the drain deadline.", "error", err)
@@ -68,12 +68,3 @@
 	}
 	return context.WithTimeout(context.Background(), vm.settings.DrainDeadlineSeconds.Duration())
 }
-
-func wait(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/vm/sessions.go
+++ b/internal/vm/sessions.go
@@ -51,10 +51,13 @@
 	}
 }
 
-// followShares gives the groups of this VM its share of the store's limit, as often as
-// the share can change.
+// shareInterval is the time between two looks at the share. The leader counts a share
+// as used for lease.Margin after its end, and a copy of it may be older by this time.
+const shareInterval = lease.Margin / 4
+
+// followShares gives the groups of this VM its share of the store's limit.
 func (vm *vm) followShares(ctx context.Context) {
-	ticker := time.NewTicker(lease.Interval)
+	ticker := time.NewTicker(shareInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -83,9 +86,13 @@
 }
 
 // groupShare is the part of one of count groups in the share of this VM. The loads at
-// full speed are in proportion to the loads in transit.
+// full speed are in proportion to the loads in transit. A share without a transit allows
+// no load, so that the sum of all shares stays within the store's limit.
 func (vm *vm) groupShare(share lease.Share, count int) budget.Share {
-	transits := max(1, share.Transit/count)
+	transits := share.Transit / count
+	if transits == 0 {
+		return budget.Share{}
+	}
 	return budget.Share{
 		PerSecond:  share.Loads / core.LoadsPerSecond(count),
 		Concurrent: max(1, vm.settings.StoreTransits*transits/max(1, vm.settings.StoreTransitLimit)),
