--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -212,7 +212,7 @@
 
 // End notes the end of an attempt.
 func (world *world) End(record audit.Record) {
-	world.note("audit end whole=%t %s tokens=%d\n", record.Whole, record.Outcome, record.Tokens)
+	world.note("audit %s whole=%t %s tokens=%d\n", record.Event, record.Whole, record.Outcome, record.Tokens)
 }
 
 // responder is the caller.
