--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -29,6 +29,9 @@
 	// mutex guards seen, since reports are on goroutines of their own.
 	mutex   sync.Mutex
 	seen    strings.Builder
+	// refused holds the record of a refusal. It is shown after everything else, since
+	// an outcome that is recorded on a goroutine of its own may come before or after it.
+	refused string
 	state   *ledger.State
 	index   uint64
 	crashes map[core.Fingerprint]int
@@ -65,6 +68,7 @@
 func (world *world) request(t *testing.T, line *datadriven.TestData) string {
 	world.script = strings.Split(line.Input, "\n")
 	world.take()
+	world.refused = ""
 	world.text.Reset()
 	world.gone, world.replies = false, 0
 	ctx, cancel := context.WithCancel(t.Context())
@@ -78,6 +82,7 @@
 	}
 	end := world.entry.Serve(ctx, request, responder{world})
 	synctest.Wait()
+	world.note("%s", world.refused)
 	world.note("caller: whole=%t %s %s heads=%d %q\n", end.Whole, end.Outcome, end.Code, world.replies, world.text.String())
 	return world.take()
 }
@@ -212,7 +217,12 @@
 
 // End notes the end of an attempt.
 func (world *world) End(record audit.Record) {
-	world.note("audit %s whole=%t %s tokens=%d\n", record.Event, record.Whole, record.Outcome, record.Tokens)
+	line := fmt.Sprintf("audit %s whole=%t %s tokens=%d\n", record.Event, record.Whole, record.Outcome, record.Tokens)
+	if record.Event == audit.EventRefused {
+		world.refused = line
+		return
+	}
+	world.note("%s", line)
 }
 
 // responder is the caller.
