--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -27,8 +27,8 @@
 	// script holds what the next attempts do, one a line.
 	script []string
 	// mutex guards seen, since reports are on goroutines of their own.
-	mutex   sync.Mutex
-	seen    strings.Builder
+	mutex sync.Mutex
+	seen  strings.Builder
 	// refused holds the record of a refusal. It is shown after everything else, since
 	// an outcome that is recorded on a goroutine of its own may come before or after it.
 	refused string
