State the lease of an announcement once

Cause: the 3 s after which an upstream gets no new work (R6) stood in the scheduler, the session and the status, so a change in one place would have left the others behind. Change: core.AnnouncementLease, used by all three. Ruled out: exporting it from the scheduler, which the session does not import.

--- a/internal/bench/policy/baseline.go
+++ b/internal/bench/policy/baseline.go
@@ -221,7 +221,7 @@
 }
 
 func (baseline *baseline) usable(engine *member, now time.Time) bool {
-	return !engine.lost && now.Sub(engine.seen) < scheduler.AnnouncementLease
+	return !engine.lost && now.Sub(engine.seen) < core.AnnouncementLease
 }
 
 func (baseline *baseline) send(call *waiter, copied *resident) {
--- a/internal/session/demand.go
+++ b/internal/session/demand.go
@@ -10,9 +10,6 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/lease"
 )
 
-// announcementLease is the time for which an announcement counts.
-const announcementLease = 3 * time.Second
-
 // demandTable holds the groups whose upstreams announce themselves to this VM.
 type demandTable struct {
 	lock   sync.Mutex // a leaf: nothing else is locked while it is held
@@ -64,7 +61,7 @@
 
 func (table *demandTable) expire(now time.Time) {
 	for group, members := range table.groups {
-		maps.DeleteFunc(members, func(_ core.UpstreamID, one announced) bool { return now.Sub(one.at) > announcementLease })
+		maps.DeleteFunc(members, func(_ core.UpstreamID, one announced) bool { return now.Sub(one.at) > core.AnnouncementLease })
 		if len(members) == 0 {
 			delete(table.groups, group)
 		}
--- a/internal/vm/status.go
+++ b/internal/vm/status.go
@@ -159,9 +159,6 @@
 	return response.GetVmInfoResult()
 }
 
-// upstreamLease is the time after an announcement for which an upstream gets new work.
-const upstreamLease = 3 * time.Second
-
 func upstreamInfo(announced dispatch.Announced, now time.Time) *wire.UpstreamInfo {
 	message := &wire.UpstreamInfo{
 		Upstream:    string(announced.Upstream),
@@ -170,7 +167,7 @@
 		Leaving:     announced.Leaving,
 		Running:     int32(announced.Running),
 		Queued:      int32(announced.Queued),
-		LeaseMillis: max(0, upstreamLease-now.Sub(announced.At)).Milliseconds(),
+		LeaseMillis: max(0, core.AnnouncementLease-now.Sub(announced.At)).Milliseconds(),
 	}
 	for _, resident := range announced.Resident {
 		message.Resident = append(message.Resident, resident.String())
--- a/pkg/core/upstream.go
+++ b/pkg/core/upstream.go
@@ -9,6 +9,10 @@
 	Running int
 }
 
+// AnnouncementLease is the time after an announcement for which an upstream gets new
+// work. It is rule R6 of the design page.
+const AnnouncementLease = 3 * time.Second
+
 // Announcement is what an upstream says about itself about once a second.
 type Announcement struct {
 	Upstream    UpstreamID
--- a/pkg/policy/scheduler/call.go
+++ b/pkg/policy/scheduler/call.go
@@ -63,7 +63,7 @@
 	}
 	for i := range scheduler.upstreams {
 		upstream := &scheduler.upstreams[i]
-		last := upstream.seen.Add(AnnouncementLease)
+		last := upstream.seen.Add(core.AnnouncementLease)
 		if !upstream.leaving && !upstream.lost && last.After(scheduler.present) {
 			scheduler.present = last
 		}
--- a/pkg/policy/scheduler/config.go
+++ b/pkg/policy/scheduler/config.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// AnnouncementLease is how long an announcement is valid.
-	AnnouncementLease = 3 * time.Second
 	// reportMargin is added to the age of a load report. It covers the way of the
 	// announcement over another VM of the zone.
 	reportMargin = 300 * time.Millisecond
--- a/pkg/policy/scheduler/doc.go
+++ b/pkg/policy/scheduler/doc.go
@@ -8,7 +8,7 @@
 //   - A call is sent only to an incarnation of an engine that confirmed the load
 //     of its adapter version.
 //   - A copy is never evicted while it is pinned by a call whose end is unknown.
-//   - An upstream that is leaving, or was silent for AnnouncementLease, gets
+//   - An upstream that is leaving, or was silent for core.AnnouncementLease, gets
 //     nothing, including calls that were assigned to it but not yet sent.
 //   - A new incarnation clears the residency of its engine.
 //   - An announcement whose load report is older than the last order for a slot
--- a/pkg/policy/scheduler/rapid_test.go
+++ b/pkg/policy/scheduler/rapid_test.go
@@ -281,7 +281,7 @@
 	if !engine.resident[action.Adapter] {
 		model.t.Fatalf("%v sent to %v, which does not hold %v", action.Attempt, action.Upstream, action.Adapter)
 	}
-	if model.now.Sub(engine.seen) >= scheduler.AnnouncementLease {
+	if model.now.Sub(engine.seen) >= core.AnnouncementLease {
 		model.t.Fatalf("%v sent to %v, which is silent", action.Attempt, action.Upstream)
 	}
 	if call.Suspect && model.busy(action.Upstream) {
--- a/pkg/policy/scheduler/upstream.go
+++ b/pkg/policy/scheduler/upstream.go
@@ -37,7 +37,7 @@
 }
 
 func (upstream *upstream) usable(now time.Time) bool {
-	return upstream.incarnation != "" && !upstream.leaving && !upstream.lost && now.Sub(upstream.seen) < AnnouncementLease
+	return upstream.incarnation != "" && !upstream.leaving && !upstream.lost && now.Sub(upstream.seen) < core.AnnouncementLease
 }
 
 func (upstream *upstream) load() routing.Load {
