Number route tables and adapter revisions in the ledger

The users' operators number their configurations themselves: the highest number wins, numbers jump, and an older or equal one is acknowledged without effect. The ledger knew only compare-and-set on the two lists. A second ledger was ruled out: one log keeps one order and one way to recover. PutRoutes keeps the table and the operator's own document; NameRevision keeps the newest revision of an adapter.

--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -11,13 +11,15 @@
 type Command struct {
 	// At is the leader's time in Unix milliseconds. The leader sets it; it never
 	// decreases within a shard.
-	At      int64
-	PutList *PutList     `json:",omitempty"`
-	Change  *ListChange  `json:",omitempty"`
-	Assign  *Assign      `json:",omitempty"`
-	Claim   *Claim       `json:",omitempty"`
-	Record  *Record      `json:",omitempty"`
-	Crash   *CrashReport `json:",omitempty"`
+	At           int64
+	PutList      *PutList      `json:",omitempty"`
+	Change       *ListChange   `json:",omitempty"`
+	Assign       *Assign       `json:",omitempty"`
+	Claim        *Claim        `json:",omitempty"`
+	Record       *Record       `json:",omitempty"`
+	Crash        *CrashReport  `json:",omitempty"`
+	PutRoutes    *PutRoutes    `json:",omitempty"`
+	NameRevision *NameRevision `json:",omitempty"`
 }
 
 // PutList replaces one of the two lists if Replaces is the current number.
@@ -82,6 +84,8 @@
 	Previous core.FencingToken
 	// ZoneHash stands for the VMs of the zone that the owner asks for consent.
 	ZoneHash uint64 `json:",omitempty"`
+	// Live is set if the former owner still had a lease.
+	Live bool `json:",omitempty"`
 }
 
 // FencingShift leaves room below the index for the counter of a cut-off zone.
@@ -95,6 +99,10 @@
 	Token       core.FencingToken
 	// ZoneHash is that of the assignment.
 	ZoneHash uint64 `json:",omitempty"`
+	// First is set if the group had no owner before.
+	First bool `json:",omitempty"`
+	// Live is that of the assignment.
+	Live bool `json:",omitempty"`
 }
 
 // AssignResult is the answer to Assign: the ownership now in force.
@@ -206,11 +214,13 @@
 
 // Result is the answer to a Command. Exactly one field is set.
 type Result struct {
-	PutList *PutListResult `json:",omitempty"`
-	Assign  *AssignResult  `json:",omitempty"`
-	Claim   *ClaimResult   `json:",omitempty"`
-	Record  *RecordResult  `json:",omitempty"`
-	Crash   *CrashResult   `json:",omitempty"`
+	PutList      *PutListResult      `json:",omitempty"`
+	Assign       *AssignResult       `json:",omitempty"`
+	Claim        *ClaimResult        `json:",omitempty"`
+	Record       *RecordResult       `json:",omitempty"`
+	Crash        *CrashResult        `json:",omitempty"`
+	PutRoutes    *PutRoutesResult    `json:",omitempty"`
+	NameRevision *NameRevisionResult `json:",omitempty"`
 	// Fault tells why a command had no effect.
 	Fault string `json:",omitempty"`
 }
--- a/pkg/replica/ledger/owner.go
+++ b/pkg/replica/ledger/owner.go
@@ -16,7 +16,7 @@
 	}
 	next := Ownership{
 		Group: assign.Group, VM: assign.VM, Incarnation: assign.Incarnation,
-		Token: core.FencingToken(index << FencingShift), ZoneHash: assign.ZoneHash,
+		Token: core.FencingToken(index << FencingShift), ZoneHash: assign.ZoneHash, First: assign.Previous == 0, Live: assign.Live,
 	}
 	state.owners[assign.Group] = next
 	state.directory = index
--- a/pkg/replica/ledger/snapshot.go
+++ b/pkg/replica/ledger/snapshot.go
@@ -27,6 +27,7 @@
 	Queue     []touch
 	Answers   []claimKey
 	Suspects  []storedSuspect
+	Routes    storedRoutes
 }
 
 type storedEntry struct {
@@ -72,6 +73,7 @@
 		Format: formatVersion, Now: state.now, Applied: state.applied, Directory: state.directory,
 		Plans: state.lists.plans.store(), Grants: state.lists.grants.store(),
 		Owners: state.Owners(), Queue: state.claims.queue, Answers: state.claims.answers,
+		Routes:  state.storeRoutes(),
 		Changes: make([]storedChange, 0, len(state.lists.changes)),
 		Keys:    make([]storedClaim, 0, len(state.claims.keys)),
 	}
@@ -149,6 +151,7 @@
 		state.suspects[known.Fingerprint] = &known.Suspect
 	}
 	state.claims.load(form)
+	state.routes.load(form.Routes)
 	return state, nil
 }
 
--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -38,6 +38,7 @@
 	owners    map[core.GroupID]Ownership
 	claims    claimTable
 	suspects  map[core.Fingerprint]*suspect
+	routes    routes
 }
 
 // New returns an empty state.
@@ -101,6 +102,12 @@
 	case command.Crash != nil:
 		result := state.applyCrash(index, *command.Crash)
 		return Result{Crash: &result}
+	case command.PutRoutes != nil:
+		result := state.routes.put(*command.PutRoutes)
+		return Result{PutRoutes: &result}
+	case command.NameRevision != nil:
+		result := state.routes.name(index, *command.NameRevision)
+		return Result{NameRevision: &result}
 	default:
 		return Result{Fault: "the command is empty"}
 	}
