Find and replace replicas without a list of members

The host took a fixed list and kept a lost VM as a member for ever. Plan takes one step at a time towards a number of voters; a silent voter goes after its successor has joined. Removing the silent one first was ruled out: it lowers the number of copies. A replica whose write failed, on a full disk for instance, is opened again; not after a failed sync, since what is read back then may not be on the disk.

--- a/internal/host/client.go
+++ b/internal/host/client.go
@@ -29,7 +29,7 @@
 // effect.
 type Client struct {
 	vm          core.VMID
-	diskVMs     []core.VMID
+	config      Config
 	claimShards core.ShardID
 	caller      caller
 	local       *Host
@@ -43,7 +43,7 @@
 func NewClient(config Config, local *Host, caller caller) *Client {
 	config = config.withDefaults()
 	return &Client{
-		vm: config.VM, diskVMs: config.DiskVMs, claimShards: config.ClaimShards,
+		vm: config.VM, config: config, claimShards: config.ClaimShards,
 		caller: caller, local: local, leaders: make(map[core.ShardID]core.VMID),
 	}
 }
@@ -110,13 +110,14 @@
 
 // targets returns the disk VMs in the order in which they are tried.
 func (client *Client) targets(shard core.ShardID) []core.VMID {
+	all := client.config.vms()
 	client.lock.Lock()
 	defer client.lock.Unlock()
 	leader, known := client.leaders[shard]
 	if !known {
-		return client.diskVMs
+		return all
 	}
-	others := slices.DeleteFunc(slices.Clone(client.diskVMs), func(vm core.VMID) bool { return vm == leader })
+	others := slices.DeleteFunc(slices.Clone(all), func(vm core.VMID) bool { return vm == leader })
 	return append([]core.VMID{leader}, others...)
 }
 
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -1,7 +1,9 @@
 package host
 
 import (
+	"fmt"
 	"io"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -17,6 +19,18 @@
 	VM core.VMID
 	// DiskVMs are all VMs that have a disk, in the same order on every VM.
 	DiskVMs []core.VMID
+	// Discover, if set, returns further VMs that may hold replicas. The VMs of a
+	// deployment without a list of members find each other while they run.
+	Discover func() []core.VMID
+	// Zone returns the availability zone of a VM, empty if it is unknown.
+	Zone func(vm core.VMID) core.ZoneID
+	// Voters is the number of replicas that vote; the others are learners. Zero means
+	// that all vote and that no replica is removed.
+	Voters int
+	// Restart keeps the replica from forming a new group.
+	Restart bool
+	// NoClaims leaves out the shards of claims.
+	NoClaims bool
 	// ClaimShards is the number of shards that hold claims: shards 1 to ClaimShards.
 	ClaimShards core.ShardID
 	// Directory holds one folder per shard.
@@ -53,7 +67,12 @@
 )
 
 func (config Config) withDefaults() Config {
-	orDefault(&config.ClaimShards, 1)
+	if !config.NoClaims {
+		orDefault(&config.ClaimShards, 1)
+	}
+	if config.Zone == nil {
+		config.Zone = func(core.VMID) core.ZoneID { return "" }
+	}
 	orDefault(&config.Tick, defaultTick)
 	orDefault(&config.HeartbeatTicks, defaultHeartbeatTicks)
 	orDefault(&config.ElectionTicks, defaultElectionTicks)
@@ -74,6 +93,21 @@
 	}
 }
 
+// shardFolder returns the folder of a shard.
+func (config Config) shardFolder(shard core.ShardID) string {
+	return filepath.Join(config.Directory, fmt.Sprintf("shard-%d", shard))
+}
+
+// vms returns every VM that may hold replicas, each once.
+func (config Config) vms() []core.VMID {
+	if config.Discover == nil {
+		return config.DiskVMs
+	}
+	all := slices.Concat(config.DiskVMs, config.Discover())
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
 // founder returns the VM that may form the first group of replicas: only one, so
 // that two groups can never form.
 func (config Config) founder() core.VMID {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"sync"
 
@@ -20,21 +19,26 @@
 type Host struct {
 	config    Config
 	caller    caller
-	replicas  []*Replica
+	transport transport
 	assembler assembler
+	// missed counts the surveys in a row that a VM did not answer. The manager alone
+	// uses it.
+	missed map[core.VMID]int
+
+	lock     sync.RWMutex // a leaf: guards replicas
+	replicas []*Replica
 }
 
 // New opens the replicas and starts their workers. The returned function stops
 // them. The host's own VM must be among the disk VMs.
 func New(config Config, transport transport, caller caller) (*Host, func() error, error) {
 	config = config.withDefaults()
-	if !slices.Contains(config.DiskVMs, config.VM) {
+	if config.Discover == nil && !slices.Contains(config.DiskVMs, config.VM) {
 		return nil, nil, errors.Errorf("%s is not one of the VMs with a disk", config.VM)
 	}
-	host := &Host{config: config, caller: caller}
+	host := &Host{config: config, caller: caller, transport: transport, missed: make(map[core.VMID]int)}
 	for shard := core.ShardID(0); shard <= config.ClaimShards; shard++ {
-		directory := filepath.Join(config.Directory, fmt.Sprintf("shard-%d", shard))
-		replica, err := openReplica(config, shard, directory, transport)
+		replica, err := openReplica(config, shard, config.shardFolder(shard), transport)
 		if err != nil {
 			return nil, nil, errors.Join(err, host.closeFiles())
 		}
@@ -64,7 +68,7 @@
 
 func (host *Host) close() error {
 	var failures []error
-	for _, replica := range host.replicas {
+	for _, replica := range host.all() {
 		failures = append(failures, replica.close())
 	}
 	return errors.Join(failures...)
@@ -72,12 +76,21 @@
 
 // Replica returns the replica of a shard, and false if there is no such shard.
 func (host *Host) Replica(shard core.ShardID) (*Replica, bool) {
+	host.lock.RLock()
+	defer host.lock.RUnlock()
 	if int(shard) >= len(host.replicas) {
 		return nil, false
 	}
 	return host.replicas[shard], true
 }
 
+// all returns the present replicas of all shards.
+func (host *Host) all() []*Replica {
+	host.lock.RLock()
+	defer host.lock.RUnlock()
+	return slices.Clone(host.replicas)
+}
+
 // Deliver hands messages of other VMs to their replicas.
 func (host *Host) Deliver(messages []raft.Message) {
 	grouped := make(map[core.ShardID][]raft.Message)
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 	"github.com/dandelionring/dandelionring/pkg/replica/raft"
+	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
 // found forms the group of replicas with this replica as its first one.
@@ -56,6 +57,29 @@
 	// Any error goes away or comes back with the next look at the VMs.
 }
 
+const (
+	// missedBeforeRemoval is the number of surveys, 500 ms apart, after which a silent
+	// replica is replaced: 15 s, longer than a partition of seconds.
+	missedBeforeRemoval = 30
+	// missedBeforeSuccession applies where another VM of the same zone has come: 3 s.
+	missedBeforeSuccession = 6
+)
+
+// change does the next step towards the membership that a view asks for.
+func (worker *worker) change(view *raft.View) {
+	if view == nil {
+		return
+	}
+	step, ok := worker.node.Status().Membership.Plan(*view)
+	if !ok {
+		return
+	}
+	if err := worker.node.Take(step); err != nil {
+		return // it goes away or comes back with the next survey
+	}
+	worker.replica.logger.Info("Proposed a change of the replicas.", "replica", step.Replica.String(), "step", step.Kind.String())
+}
+
 // manage looks at the other disk VMs from time to time until ctx ends.
 func (host *Host) manage(ctx context.Context) {
 	ticker := time.NewTicker(host.config.ManageInterval)
@@ -65,7 +89,8 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, replica := range host.replicas {
+			for _, replica := range host.all() {
+				host.reopen(replica)
 				host.manageReplica(ctx, replica)
 			}
 		}
@@ -74,11 +99,16 @@
 
 func (host *Host) manageReplica(ctx context.Context, replica *Replica) {
 	_, leads := replica.IsLeader()
-	founds := replica.empty.Load() && host.config.VM == host.config.founder()
+	founds := !host.config.Restart && replica.empty.Load() && host.config.VM == host.config.founder()
 	if !leads && !founds {
 		return
 	}
 	infos := host.survey(ctx, replica)
+	if leads && host.config.Voters > 0 {
+		view := host.view(replica, infos)
+		replica.queue.put(func(waiting *work) { waiting.view = &view })
+		return
+	}
 	if leads {
 		replica.queue.put(func(waiting *work) { waiting.joining = joining(infos) })
 		return
@@ -96,7 +126,7 @@
 	infos := map[core.VMID]*wire.ReplicaInfoResult{host.config.VM: replica.info()}
 	var lock sync.Mutex // a leaf: guards infos
 	var group sync.WaitGroup
-	for _, vm := range host.config.DiskVMs {
+	for _, vm := range host.candidates(replica) {
 		if vm == host.config.VM {
 			continue
 		}
@@ -114,6 +144,60 @@
 	return infos
 }
 
+// candidates returns the VMs to survey: those that may hold a replica and those whose
+// replicas are members.
+func (host *Host) candidates(replica *Replica) []core.VMID {
+	members := replica.Status().Membership
+	all := slices.Clone(host.config.vms())
+	for _, id := range slices.Concat(members.Voters, members.Learners) {
+		all = append(all, id.VM)
+	}
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// view turns the answers of a survey into what the plan of a change needs.
+func (host *Host) view(replica *Replica, infos map[core.VMID]*wire.ReplicaInfoResult) raft.View {
+	view := raft.View{
+		Self: replica.id, Present: joining(infos), Missed: make(map[core.VMID]int),
+		Zones: make(map[core.VMID]core.ZoneID), Voters: host.config.Voters,
+		Patience: missedBeforeRemoval, SuccessorPatience: missedBeforeSuccession,
+	}
+	for _, vm := range host.candidates(replica) {
+		host.missed[vm]++
+		if infos[vm] != nil {
+			host.missed[vm] = 0
+		}
+		view.Missed[vm] = host.missed[vm]
+		view.Zones[vm] = host.config.Zone(vm)
+	}
+	return view
+}
+
+// reopen opens a replica again after a failed write, for instance on a full disk. After
+// a failed sync it does not: what the system then reads back may not be on the disk.
+func (host *Host) reopen(failed *Replica) {
+	var damage *wal.DamageError
+	err := failed.Err()
+	if err == nil || err == ErrStopped || errors.Is(err, wal.ErrSync) || errors.As(err, &damage) { //nolint:errorlint // a stop by order has no cause
+		return
+	}
+	if err := failed.worker.files.Close(); err != nil {
+		host.config.Logger.Warn("The files of a stopped replica were not closed.", "error", err)
+	}
+	next, err := openReplica(host.config, failed.shard, host.config.shardFolder(failed.shard), host.transport)
+	if err != nil {
+		host.config.Logger.Warn("The replica cannot be opened yet.", "error", err)
+		return
+	}
+	next.watchers = failed.watchers
+	host.lock.Lock()
+	host.replicas[failed.shard] = next
+	host.lock.Unlock()
+	next.start()
+	host.config.Logger.Info("The replica works again.", "shard", failed.shard)
+}
+
 func (host *Host) ask(ctx context.Context, vm core.VMID, shard core.ShardID) (*wire.ReplicaInfoResult, error) {
 	request := &wire.Request{Body: &wire.Request_ReplicaInfo{ReplicaInfo: &wire.ReplicaInfo{Shard: uint32(shard)}}}
 	response, err := host.caller.Call(ctx, vm, request)
--- a/internal/host/part.go
+++ b/internal/host/part.go
@@ -21,7 +21,7 @@
 // Part returns the part of the replica that is furthest from voting.
 func (host *Host) Part() Part {
 	result := PartVoter
-	for _, replica := range host.replicas {
+	for _, replica := range host.all() {
 		switch part := replica.part(); {
 		case part == PartStopped:
 			return part
--- a/internal/host/queue.go
+++ b/internal/host/queue.go
@@ -38,6 +38,8 @@
 	confirmations []*confirmation
 	// joining are replicas that answered as the present ones of their VMs.
 	joining []raft.ReplicaID
+	// view is the result of a survey by a leader that plans the membership.
+	view *raft.View
 	// founding is the membership of a group that is to be formed.
 	founding *raft.Membership
 	// saved is a snapshot of the state that was stored.
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -28,7 +28,7 @@
 	pending   atomic.Int64
 	stop      chan struct{}
 	stopped   chan struct{}
-	watchers  watchers
+	watchers  *watchers
 
 	stateLock sync.RWMutex // a leaf: nothing else is locked while it is held
 	state     *ledger.State
@@ -46,11 +46,12 @@
 	}
 	replica := &Replica{
 		config: config, shard: shard, transport: transport,
-		id:      raft.ReplicaID{VM: config.VM, Incarnation: files.Incarnation()},
-		logger:  config.Logger.With("shard", shard),
-		queue:   queue{signal: make(chan struct{}, 1)},
-		stop:    make(chan struct{}),
-		stopped: make(chan struct{}),
+		id:       raft.ReplicaID{VM: config.VM, Incarnation: files.Incarnation()},
+		logger:   config.Logger.With("shard", shard),
+		queue:    queue{signal: make(chan struct{}, 1)},
+		stop:     make(chan struct{}),
+		stopped:  make(chan struct{}),
+		watchers: &watchers{},
 	}
 	replica.worker = worker{replica: replica, files: files, waiting: make(map[raft.Index]*proposal)}
 	if err := replica.worker.restore(restored); err != nil {
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -135,6 +135,7 @@
 	for _, id := range taken.joining {
 		worker.join(id)
 	}
+	worker.change(taken.view)
 	if err := worker.compact(taken.saved); err != nil {
 		return err
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -169,7 +170,7 @@
 // link returns the open link to a VM. One goroutine dials; the others wait for it,
 // unless the last dial failed: then they get its error while a new one runs.
 func (client *Client) link(ctx context.Context, vm core.VMID) (*link, error) {
-	address, ok := client.addresses[vm]
+	address, ok := client.address(vm)
 	if !ok {
 		return nil, errors.New("no address is known")
 	}
@@ -196,6 +197,18 @@
 	}
 }
 
+// address returns where a VM listens. A VM that the settings do not name is known by its
+// address.
+func (client *Client) address(vm core.VMID) (string, bool) {
+	if address, ok := client.addresses[vm]; ok {
+		return address, true
+	}
+	if _, err := netip.ParseAddrPort(string(vm)); err != nil {
+		return "", false
+	}
+	return string(vm), true
+}
+
 func (client *Client) dial(vm core.VMID, address string, link *link) {
 	link.session, link.incarnation, link.err = client.open(vm, address)
 	if link.err != nil {
--- a/internal/vm/transport.go
+++ b/internal/replication/transport.go
@@ -1,4 +1,4 @@
-package vm
+package replication
 
 import (
 	"context"
@@ -22,38 +22,51 @@
 	replicateTimeout = time.Second
 )
 
-// transport carries messages of the replicated logs. One goroutine for each peer keeps
-// their order, and takes everything that waits into one batch.
-type transport struct {
-	client *peer.Client
+// Transport carries messages of the replicated logs. One goroutine for each peer keeps
+// their order, and takes everything that waits into one batch. A peer gets its goroutine
+// with the first message to it.
+type Transport struct {
+	client  *peer.Client
+	ctx     context.Context
+	running sync.WaitGroup
+
+	lock   sync.Mutex // a leaf: nothing else is locked while it is held
 	queues map[core.VMID]chan []raft.Message
 }
 
-// newTransport returns a transport to the given VMs and a function that stops it.
-func newTransport(client *peer.Client, vms []core.VMID) (*transport, func()) {
+// NewTransport returns a transport and a function that stops it.
+func NewTransport(client *peer.Client) (*Transport, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	result := &transport{client: client, queues: make(map[core.VMID]chan []raft.Message)}
-	var running sync.WaitGroup
-	for _, vm := range vms {
-		queue := make(chan []raft.Message, replicaQueue)
-		result.queues[vm] = queue
-		running.Go(func() { result.run(ctx, vm, queue) })
-	}
+	result := &Transport{client: client, ctx: ctx, queues: make(map[core.VMID]chan []raft.Message)}
 	return result, func() {
 		cancel()
-		running.Wait()
+		result.running.Wait()
 	}
 }
 
 // Send hands messages to the goroutine of a peer and drops them if its queue is full.
-func (transport *transport) Send(to core.VMID, messages []raft.Message) {
+func (transport *Transport) Send(to core.VMID, messages []raft.Message) {
 	select {
-	case transport.queues[to] <- messages:
+	case transport.queue(to) <- messages:
 	default:
 	}
 }
 
-func (transport *transport) run(ctx context.Context, vm core.VMID, queue chan []raft.Message) {
+func (transport *Transport) queue(vm core.VMID) chan []raft.Message {
+	transport.lock.Lock()
+	defer transport.lock.Unlock()
+	queue := transport.queues[vm]
+	if queue == nil {
+		queue = make(chan []raft.Message, replicaQueue)
+		transport.queues[vm] = queue
+		if transport.ctx.Err() == nil {
+			transport.running.Go(func() { transport.run(transport.ctx, vm, queue) })
+		}
+	}
+	return queue
+}
+
+func (transport *Transport) run(ctx context.Context, vm core.VMID, queue chan []raft.Message) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -75,7 +88,7 @@
 	}
 }
 
-func (transport *transport) deliver(ctx context.Context, vm core.VMID, messages []raft.Message) {
+func (transport *Transport) deliver(ctx context.Context, vm core.VMID, messages []raft.Message) {
 	for _, batch := range host.ToWire(messages) {
 		ctx, cancel := context.WithTimeout(ctx, replicateTimeout)
 		_, err := transport.client.Call(ctx, vm, &wire.Request{Body: &wire.Request_Replicate{Replicate: batch}})
@@ -86,15 +99,15 @@
 	}
 }
 
-// shardCaller asks other VMs on behalf of the replicated state. It marks requests that
-// did not leave this VM.
-type shardCaller struct {
-	client *peer.Client
+// Caller asks other VMs on behalf of the replicated state. It marks requests that did
+// not leave this VM.
+type Caller struct {
+	Client *peer.Client
 }
 
 // Call asks another VM and returns its answer.
-func (caller shardCaller) Call(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.Response, error) {
-	response, err := caller.client.Call(ctx, vm, request)
+func (caller Caller) Call(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.Response, error) {
+	response, err := caller.Client.Call(ctx, vm, request)
 	var unreachable *peer.UnreachableError
 	if errors.As(err, &unreachable) && !unreachable.Sent {
 		return nil, errors.Join(host.ErrNotSent, err)
--- a/internal/vm/durable.go
+++ b/internal/vm/durable.go
@@ -10,6 +10,7 @@
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/replication"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -50,7 +51,7 @@
 func openDurable(settings settings.Settings, self peer.Identity, client *peer.Client, logs *logging.Logs) (durable, func(), error) {
 	var closers cleanUp
 	config := hostConfig(settings, logs)
-	caller := shardCaller{client: client}
+	caller := replication.Caller{Client: client}
 	state := durable{archive: archive{disks: config.DiskVMs, client: client}}
 	if settings.DataFolder != "" {
 		closeHost, err := state.openHost(config, client, caller)
@@ -81,8 +82,8 @@
 	}
 }
 
-func (state *durable) openHost(config host.Config, client *peer.Client, caller shardCaller) (func(), error) {
-	transport, closeTransport := newTransport(client, without(config.DiskVMs, config.VM))
+func (state *durable) openHost(config host.Config, client *peer.Client, caller replication.Caller) (func(), error) {
+	transport, closeTransport := replication.NewTransport(client)
 	opened, closeHost, err := host.New(config, transport, caller)
 	if err != nil {
 		closeTransport()
--- a/pkg/replica/wal/errors.go
+++ b/pkg/replica/wal/errors.go
@@ -14,6 +14,9 @@
 	// ErrFailed means that an earlier write or sync failed; the log must be opened
 	// again.
 	ErrFailed = errors.New("the log stopped after a failed write")
+	// ErrSync means that a sync failed. What is read back afterwards may not be on the
+	// disk, so the log must not be used again in this life of the machine.
+	ErrSync = errors.New("a sync failed")
 	// ErrDiskFull means that there was no room for a write.
 	ErrDiskFull = errors.New("the disk is full")
 	// ErrClosed means that the log was closed.
--- a/pkg/replica/wal/log.go
+++ b/pkg/replica/wal/log.go
@@ -193,7 +193,7 @@
 	}
 	log.syncs.Add(1)
 	if err := log.file.Sync(); err != nil {
-		return log.fail(errors.Wrap(err, "sync log"))
+		return log.fail(errors.Join(ErrSync, errors.Wrap(err, "sync log")))
 	}
 	active.size += core.Bytes(len(frame))
 	for _, entry := range batch.entries {
@@ -217,7 +217,7 @@
 	}
 	if err := file.Sync(); err != nil {
 		file.Close()
-		return errors.Wrapf(err, "sync %s", path)
+		return errors.Join(ErrSync, errors.Wrapf(err, "sync %s", path))
 	}
 	if err := log.system.SyncDirectory(log.directory); err != nil {
 		file.Close()
