Serve callers and own engines as two roles

Entry VMs send to upstreams themselves; control VMs keep the operators' state, hear upstreams and own a zone's engines. The way over one owner as the only dispatcher was ruled out here: every byte paid twice on machines with 0.4 of a core, and streams cut when an owner is lost. net/http's client was ruled out towards upstreams: it repeats requests by itself and drops bytes behind an answer.

--- /dev/null
+++ b/internal/control/handler.go
@@ -0,0 +1,48 @@
+package control
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+var errUnknownRequest = errors.New("this VM does not handle the request")
+
+// Handle answers the request of another VM.
+func (control *Control) Handle(ctx context.Context, _ core.VMID, request *wire.Request, send func(*wire.Response) error) {
+	if watch := request.GetWatch(); watch != nil {
+		control.watch(ctx, watch, send)
+		return
+	}
+	response, err := control.answer(ctx, request)
+	if err != nil {
+		_ = peer.Fail(send, err)
+		return
+	}
+	_ = send(response)
+}
+
+func (control *Control) answer(ctx context.Context, request *wire.Request) (*wire.Response, error) {
+	switch body := request.GetBody().(type) {
+	case *wire.Request_RoutesFetch:
+		page, err := control.fetch(ctx, body.RoutesFetch)
+		if err != nil {
+			return nil, err
+		}
+		return &wire.Response{Body: &wire.Response_RoutesPage{RoutesPage: page}}, nil
+	case *wire.Request_Hold:
+		return &wire.Response{Body: &wire.Response_HoldResult{HoldResult: control.grant(ctx, body.Hold)}}, nil
+	case *wire.Request_Place:
+		return &wire.Response{Body: &wire.Response_PlaceResult{PlaceResult: control.place(ctx, body.Place)}}, nil
+	case *wire.Request_Usage:
+		return &wire.Response{Body: &wire.Response_UsageResult{UsageResult: control.use(body.Usage)}}, nil
+	}
+	if response, ok := control.parts.Host.Handle(ctx, request); ok {
+		return response, nil
+	}
+	return nil, errUnknownRequest
+}
--- /dev/null
+++ b/internal/control/state.go
@@ -0,0 +1,254 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/host"
+	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/residency"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
+)
+
+// ErrUnconfirmed means that no majority has confirmed which state is the newest.
+var ErrUnconfirmed = errors.New("no majority confirms the newest state")
+
+// proposeTimeout bounds the commit of an operator's change. Operators try another VM
+// after a second without an answer.
+const proposeTimeout = 3 * time.Second
+
+// PutRoutes commits a route table. It returns the table's faults if it is invalid, and an
+// error if it is not known to be committed.
+func (control *Control) PutRoutes(ctx context.Context, put ledger.PutRoutes) (ledger.PutRoutesResult, []core.Fault, error) {
+	if faults := put.Table.Check(); len(faults) > 0 {
+		control.parts.Logger.Warn("A route table was refused.", "number", put.Table.Number, "faults", len(faults), "first", faults[0].Error())
+		return ledger.PutRoutesResult{}, faults, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := control.parts.Commands.Propose(ctx, 0, ledger.Command{PutRoutes: &put})
+	if err != nil {
+		control.parts.Logger.Warn("A route table was not committed.", "number", put.Table.Number, "error", err)
+		return ledger.PutRoutesResult{}, nil, errors.Wrap(err, "commit route table")
+	}
+	if result.PutRoutes == nil {
+		return ledger.PutRoutesResult{}, nil, errors.Wrap(host.ErrNotCommitted, result.Fault)
+	}
+	control.parts.Logger.Info("A route table was answered.", "number", put.Table.Number, "changed", result.PutRoutes.Changed,
+		"in_force", result.PutRoutes.Number, "conflict", result.PutRoutes.Conflict)
+	return *result.PutRoutes, nil, nil
+}
+
+// NameRevision commits the newest revision of an adapter.
+func (control *Control) NameRevision(ctx context.Context, name ledger.NameRevision) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := control.parts.Commands.Propose(ctx, 0, ledger.Command{NameRevision: &name})
+	if err == nil && result.NameRevision == nil {
+		err = errors.Wrap(host.ErrNotCommitted, result.Fault)
+	}
+	control.parts.Logger.Info("A revision was named.", "weights", name.Weights.String(), "revision", name.Revision, "error", err)
+	if err != nil {
+		return errors.Wrap(err, "commit revision")
+	}
+	return nil
+}
+
+// Routes returns the newest route table in the operator's form, and ErrUnconfirmed if no
+// majority confirms it.
+func (control *Control) Routes(ctx context.Context) (core.ConfigNumber, []byte, error) {
+	page, err := control.confirmedPage(ctx, true)
+	if err != nil {
+		return 0, nil, err
+	}
+	return core.ConfigNumber(page.GetNumber()), page.GetDocument(), nil
+}
+
+// confirmTimeout bounds a confirmed read. An operator asks another VM after a second.
+const confirmTimeout = 900 * time.Millisecond
+
+// confirmedPage reads the newest route table from the leader.
+func (control *Control) confirmedPage(ctx context.Context, document bool) (*wire.RoutesPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	replica, ok := control.parts.Host.Replica(0)
+	if !ok {
+		return nil, ErrUnconfirmed
+	}
+	if replica.Confirm(ctx) == nil {
+		return control.page(replica, document)
+	}
+	leader := replica.Leader()
+	if leader == "" || leader == control.parts.VM {
+		return nil, ErrUnconfirmed
+	}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: true, Document: document}}}
+	response, err := control.parts.Calls.Call(ctx, leader, request)
+	if err != nil {
+		return nil, errors.Join(ErrUnconfirmed, err)
+	}
+	return response.GetRoutesPage(), nil
+}
+
+func (control *Control) page(replica *host.Replica, document bool) (*wire.RoutesPage, error) {
+	var routes core.RouteTable
+	page := &wire.RoutesPage{}
+	replica.View(func(state *ledger.State) {
+		var original []byte
+		routes, original = state.Routes()
+		if document {
+			page.Document = original
+		}
+		page.Revisions = peer.RevisionMessages(state.RevisionsSince(0))
+	})
+	page.Number = uint64(routes.Number)
+	if document {
+		return page, nil
+	}
+	table, err := json.Marshal(routes)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode routes")
+	}
+	page.Table = table
+	return page, nil
+}
+
+// fetch answers another VM that asks for the route table.
+func (control *Control) fetch(ctx context.Context, request *wire.RoutesFetch) (*wire.RoutesPage, error) {
+	replica, ok := control.parts.Host.Replica(0)
+	if !ok {
+		return nil, ErrUnconfirmed
+	}
+	if request.GetConfirm() {
+		return control.confirmedPage(ctx, request.GetDocument())
+	}
+	return control.page(replica, request.GetDocument())
+}
+
+// followState brings the tables up to the replicated state whenever it changes.
+func (control *Control) followState(ctx context.Context) {
+	replica, ok := control.parts.Host.Replica(0)
+	if !ok {
+		return
+	}
+	changes, cancel := replica.Subscribe()
+	defer cancel()
+	for {
+		control.applyState()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changes:
+		}
+	}
+}
+
+func (control *Control) applyState() {
+	replica, ok := control.parts.Host.Replica(0)
+	if !ok {
+		return
+	}
+	var routes core.RouteTable
+	var owners []ledger.Ownership
+	var revisions []ledger.Revision
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	replica.View(func(state *ledger.State) {
+		routes, _ = state.Routes()
+		owners = state.Owners()
+		revisions = state.RevisionsSince(control.revisions)
+	})
+	now := clock.Now()
+	control.setSpecs(now, routes)
+	for _, owner := range owners {
+		control.setOwner(now, owner)
+	}
+	for _, revision := range revisions {
+		control.revisions = max(control.revisions, revision.Index)
+		for _, zone := range control.owned {
+			zone.table.SetRevision(revision.Weights, revision.Revision)
+		}
+	}
+	control.hub.state()
+	control.wake()
+}
+
+// setSpecs takes in the engines of the route table. The caller holds the lock.
+func (control *Control) setSpecs(now time.Duration, routes core.RouteTable) {
+	for _, service := range routes.Services {
+		if service.Engine == nil {
+			continue
+		}
+		_, known := control.spec[service.Service]
+		control.spec[service.Service] = *service.Engine
+		if known {
+			continue
+		}
+		for _, instance := range control.known.All() {
+			control.setEngine(now, instance)
+		}
+	}
+}
+
+// setOwner takes in the owner of a zone's engines. The caller holds the lock.
+func (control *Control) setOwner(now time.Duration, owner ledger.Ownership) {
+	zone := owner.Group.Zone
+	held := control.owned[zone]
+	if owner.VM != control.parts.VM {
+		if held != nil {
+			control.parts.Logger.Info("This VM no longer owns the engines of a zone.", "zone", zone, "owner", owner.VM, "token", owner.Token)
+			delete(control.owned, zone)
+		}
+		return
+	}
+	if held != nil && held.token == owner.Token {
+		return
+	}
+	control.parts.Logger.Info("This VM owns the engines of a zone.", "zone", zone, "token", owner.Token)
+	next := &ownedZone{
+		zone: zone, token: owner.Token, from: now + control.takeoverWait(owner),
+		table: residency.NewTable(residency.Timing{}, 1/float64(max(1, control.parts.Zones))),
+	}
+	control.owned[zone] = next
+	for _, instance := range control.known.All() {
+		if instance.Zone == zone {
+			control.setEngine(now, instance)
+		}
+	}
+	if replica, ok := control.parts.Host.Replica(0); ok {
+		replica.View(func(state *ledger.State) {
+			for _, revision := range state.RevisionsSince(0) {
+				next.table.SetRevision(revision.Weights, revision.Revision)
+			}
+		})
+	}
+}
+
+// describe adds the replicated state and the control VMs to an event.
+func (control *Control) describe(event *wire.WatchEvent, subscriber *subscriber) {
+	event.ControlVms = peerMessages(control.peers.All())
+	event.EntryVms = uint32(control.hub.count())
+	replica, ok := control.parts.Host.Replica(0)
+	if !ok {
+		return
+	}
+	replica.View(func(state *ledger.State) {
+		routes, _ := state.Routes()
+		event.RoutesNumber = uint64(routes.Number)
+		revisions := state.RevisionsSince(subscriber.revision)
+		event.Revisions = peer.RevisionMessages(revisions)
+		if len(revisions) > 0 {
+			subscriber.revision = revisions[len(revisions)-1].Index
+		}
+		for _, owner := range state.Owners() {
+			event.Owners = append(event.Owners, peer.OwnershipMessage(owner))
+		}
+	})
+	event.RevisionIndex = subscriber.revision
+}
--- /dev/null
+++ b/internal/fleet/follower.go
@@ -0,0 +1,271 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// caller asks other VMs.
+type caller interface {
+	Call(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.Response, error)
+	Stream(ctx context.Context, vm core.VMID, request *wire.Request, receive func(*wire.Response) bool) error
+}
+
+const (
+	// retryPause is the pause before a control VM that could not be reached is asked
+	// again. A worker that leaves must be known everywhere in 2 s.
+	retryPause = 300 * time.Millisecond
+	// fetchTimeout bounds one fetch of the route table.
+	fetchTimeout = 1500 * time.Millisecond
+	// usageInterval is the time between two reports of use to the owner.
+	usageInterval = 500 * time.Millisecond
+)
+
+// Parts are what a Follower works with.
+type Parts struct {
+	VM    core.VMID
+	Zone  core.ZoneID
+	Seeds []core.VMID
+	Table *Table
+	Calls caller
+	// Changed is called after a new route table is in force.
+	Changed func(core.RouteTable)
+	Logger  *log.Logger
+}
+
+// Follower keeps the table of an entry VM up to date.
+type Follower struct {
+	parts   Parts
+	ctx     context.Context
+	running sync.WaitGroup
+	// fetching holds one element while the route table is fetched.
+	fetching chan struct{}
+
+	// lock is table 2 of the lock order.
+	lock     sync.Mutex
+	followed map[core.VMID]bool
+}
+
+// Follow starts to follow the control VMs and returns a function that stops it.
+func Follow(parts Parts) (*Follower, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	follower := &Follower{parts: parts, ctx: ctx, fetching: make(chan struct{}, 1), followed: make(map[core.VMID]bool)}
+	for _, seed := range parts.Seeds {
+		follower.add(seed)
+	}
+	follower.running.Go(follower.report)
+	return follower, func() {
+		cancel()
+		follower.running.Wait()
+	}
+}
+
+// AddSeeds follows further control VMs.
+func (follower *Follower) AddSeeds(seeds []core.VMID) {
+	for _, seed := range seeds {
+		follower.add(seed)
+	}
+}
+
+// add follows a control VM, once.
+func (follower *Follower) add(vm core.VMID) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if follower.followed[vm] || follower.ctx.Err() != nil {
+		return
+	}
+	follower.followed[vm] = true
+	follower.running.Go(func() { follower.follow(vm) })
+}
+
+func (follower *Follower) follow(vm core.VMID) {
+	connected := false
+	for follower.ctx.Err() == nil {
+		request := &wire.Request{Body: &wire.Request_Watch{Watch: &wire.Watch{
+			Vm: string(follower.parts.VM), Zone: string(follower.parts.Zone),
+		}}}
+		err := follower.parts.Calls.Stream(follower.ctx, vm, request, func(response *wire.Response) bool {
+			if !connected {
+				connected = true
+				follower.parts.Logger.Info("Following a control VM.", "control", vm)
+			}
+			follower.take(vm, response.GetWatchEvent())
+			return true
+		})
+		if connected && follower.ctx.Err() == nil {
+			follower.parts.Logger.Warn("Lost a control VM.", "control", vm, "error", err)
+		}
+		connected = false
+		pause(follower.ctx, retryPause)
+	}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (follower *Follower) take(vm core.VMID, event *wire.WatchEvent) {
+	table := follower.parts.Table
+	now := clock.Now()
+	for _, message := range event.GetInstances() {
+		instance := peer.Instance(message)
+		if table.SetInstance(now, instance) {
+			follower.parts.Logger.Info("An upstream changed.", "upstream", instance.Upstream, "service", instance.Service,
+				"address", instance.Address, "leaving", instance.Leaving, "gone", instance.Gone, "silent", instance.Silent, "control", vm)
+		}
+	}
+	for _, message := range event.GetRevisions() {
+		table.SetRevision(peer.Revision(message))
+	}
+	for _, owner := range event.GetOwners() {
+		table.SetOwner(core.ZoneID(owner.GetGroup().GetZone()), Owner{VM: core.VMID(owner.GetVm()), Token: core.FencingToken(owner.GetFencingToken())})
+	}
+	for _, message := range event.GetResidency() {
+		table.SetResidency(peer.Residency(message))
+	}
+	for _, control := range event.GetControlVms() {
+		follower.add(core.VMID(control.GetVm()))
+	}
+	if event.GetEntryVms() > 0 {
+		table.SetEntryVMs(int(event.GetEntryVms()))
+	}
+	if number := core.ConfigNumber(event.GetRoutesNumber()); number > table.Number() {
+		follower.fetch(vm)
+	}
+}
+
+// fetch brings the route table up to the number that a control VM has named. Before the
+// first table, a majority must have confirmed it: a control VM that is cut off may hold
+// an old one, and this VM may have served a newer one in its last life.
+func (follower *Follower) fetch(vm core.VMID) {
+	select {
+	case follower.fetching <- struct{}{}:
+	default:
+		return
+	}
+	follower.running.Go(func() {
+		defer func() { <-follower.fetching }()
+		if err := follower.load(vm); err != nil {
+			follower.parts.Logger.Warn("The route table was not fetched.", "control", vm, "error", err)
+			pause(follower.ctx, retryPause)
+		}
+	})
+}
+
+func (follower *Follower) load(vm core.VMID) error {
+	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
+	defer cancel()
+	first := follower.parts.Table.Number() == 0
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first}}}
+	response, err := follower.parts.Calls.Call(ctx, vm, request)
+	if err != nil {
+		return errors.Wrap(err, "fetch routes")
+	}
+	page := response.GetRoutesPage()
+	if page.GetNumber() == 0 {
+		return errors.New("the control VM has no route table")
+	}
+	var routes core.RouteTable
+	if err := json.Unmarshal(page.GetTable(), &routes); err != nil {
+		return errors.Wrap(err, "decode routes")
+	}
+	for _, message := range page.GetRevisions() {
+		follower.parts.Table.SetRevision(peer.Revision(message))
+	}
+	if !follower.parts.Table.SetRoutes(routes) {
+		return nil
+	}
+	follower.parts.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "control", vm, "confirmed", first)
+	follower.parts.Changed(routes)
+	return nil
+}
+
+// report tells the owners of the zones' engines what was sent there, at a steady pace.
+func (follower *Follower) report() {
+	ticker := time.NewTicker(usageInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-follower.ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var reports sync.WaitGroup
+		for zone, owner := range follower.parts.Table.Owners() {
+			if usage := follower.parts.Table.usage(follower.parts.VM, zone); usage != nil {
+				reports.Go(func() { follower.reportZone(zone, owner, usage) })
+			}
+		}
+		reports.Wait()
+	}
+}
+
+func (follower *Follower) reportZone(zone core.ZoneID, owner core.VMID, usage *wire.Usage) {
+	ctx, cancel := context.WithTimeout(follower.ctx, usageInterval)
+	defer cancel()
+	response, err := follower.parts.Calls.Call(ctx, owner, &wire.Request{Body: &wire.Request_Usage{Usage: usage}})
+	if err != nil {
+		follower.parts.Logger.Debug("The owner did not take the report of use.", "owner", owner, "error", err)
+		return
+	}
+	follower.parts.Table.setOthers(zone, response.GetUsageResult())
+}
+
+// Place asks the owners of the zones' engines for an engine that holds weights, or for
+// one more if some hold them. It returns the engine, or the reason why there is none.
+func (follower *Follower) Place(ctx context.Context, query Query, more bool, wait time.Duration) (core.UpstreamID, string) {
+	reason := "no owner of engines is known"
+	exclude := make([]string, 0, len(query.Exclude))
+	for _, id := range query.Exclude {
+		exclude = append(exclude, string(id))
+	}
+	revision := follower.parts.Table.Revision(query.Weights)
+	deadline := time.Now().Add(wait)
+	for _, owner := range follower.parts.Table.OwnersFor(query, more) {
+		left := time.Until(deadline)
+		if left <= 0 || ctx.Err() != nil {
+			return "", reason
+		}
+		upstream, why := follower.ask(ctx, owner, &wire.Place{
+			Service: string(query.Service), Model: string(query.Weights.Model), Adapter: string(query.Weights.Adapter),
+			Revision: uint64(revision), Exclude: exclude, WaitMillis: left.Milliseconds(),
+		}, left)
+		if upstream != "" {
+			return upstream, ""
+		}
+		reason = why
+	}
+	return "", reason
+}
+
+// placeSlack is the time that the answer of an owner may take beyond its wait.
+const placeSlack = 50 * time.Millisecond
+
+func (follower *Follower) ask(ctx context.Context, owner core.VMID, place *wire.Place, wait time.Duration) (core.UpstreamID, string) {
+	ctx, cancel := context.WithTimeout(ctx, wait+placeSlack)
+	defer cancel()
+	response, err := follower.parts.Calls.Call(ctx, owner, &wire.Request{Body: &wire.Request_Place{Place: place}})
+	if err != nil {
+		return "", err.Error()
+	}
+	result := response.GetPlaceResult()
+	if !result.GetPlaced() {
+		return "", result.GetReason()
+	}
+	return core.UpstreamID(result.GetUpstream()), ""
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/h1"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/retry"
+	"github.com/dandelionring/dandelionring/pkg/policy/route"
+)
+
+// placer finds an engine for weights that no known engine holds.
+type placer interface {
+	Place(ctx context.Context, query fleet.Query, more bool, wait time.Duration) (core.UpstreamID, string)
+}
+
+// Parts are what a Gateway works with.
+type Parts struct {
+	Table   *fleet.Table
+	Placer  placer
+	Dialect Dialect
+	// Repeats bounds the sends beyond the first of each request.
+	Repeats retry.Limits
+	Logger  *log.Logger
+}
+
+// Gateway answers callers. Use New.
+type Gateway struct {
+	parts Parts
+	conns h1.Pool
+
+	// lock is table 2 of the lock order.
+	lock    sync.Mutex
+	budgets map[core.ServiceID]*retry.Budget
+}
+
+// New returns a gateway and a function that closes its idle connections.
+func New(parts Parts) (*Gateway, func()) {
+	gateway := &Gateway{parts: parts, budgets: make(map[core.ServiceID]*retry.Budget)}
+	return gateway, gateway.conns.Close
+}
+
+// Trim closes connections that have been idle for as long as their upstreams allow.
+func (gateway *Gateway) Trim(now time.Time) { gateway.conns.Trim(now) }
+
+// ServeHTTP answers one request of a caller.
+func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
+	call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now()}
+	call.request = gateway.parts.Dialect.Parse(incoming)
+	index := gateway.parts.Table.Routes()
+	if index == nil {
+		call.refuse(http.StatusServiceUnavailable, "no route table is in force")
+		return
+	}
+	call.route = index.Match(incoming.Host, incoming.URL.Path)
+	if call.route == nil {
+		call.refuse(http.StatusNotFound, "no route matches")
+		return
+	}
+	if !call.readBody(index.Table().Limits) {
+		return
+	}
+	call.service = route.Target(call.route, string(call.request.ID))
+	if spec, ok := index.Table().Service(call.service); ok {
+		call.maxConns = spec.MaxConns
+	}
+	gateway.count(call.service)
+	call.run()
+}
+
+func (gateway *Gateway) budget(service core.ServiceID) *retry.Budget {
+	budget := gateway.budgets[service]
+	if budget == nil {
+		budget = &retry.Budget{}
+		budget.SetLimits(gateway.parts.Repeats)
+		gateway.budgets[service] = budget
+	}
+	return budget
+}
+
+func (gateway *Gateway) count(service core.ServiceID) {
+	gateway.lock.Lock()
+	defer gateway.lock.Unlock()
+	gateway.budget(service).Request(clock.Now())
+}
+
+// mayRepeat takes one send from this VM's share of the budget of a service.
+func (gateway *Gateway) mayRepeat(service core.ServiceID) bool {
+	vms := gateway.parts.Table.EntryVMs()
+	gateway.lock.Lock()
+	defer gateway.lock.Unlock()
+	return gateway.budget(service).Allow(clock.Now(), vms)
+}
+
+// readBody reads the whole body, so that it can be sent again. It returns false after it
+// has answered the caller.
+func (call *call) readBody(limits core.CallerLimits) bool {
+	if call.incoming.Body == nil || call.incoming.ContentLength == 0 {
+		return true
+	}
+	reader := io.Reader(call.incoming.Body)
+	if limits.BodyBytes > 0 {
+		if call.incoming.ContentLength > int64(limits.BodyBytes) {
+			call.refuse(http.StatusRequestEntityTooLarge, "the body is over the limit")
+			return false
+		}
+		reader = http.MaxBytesReader(call.writer, call.incoming.Body, int64(limits.BodyBytes))
+	}
+	var err error
+	if call.incoming.ContentLength > 0 {
+		call.body = make([]byte, call.incoming.ContentLength)
+		_, err = io.ReadFull(reader, call.body)
+	} else {
+		call.body, err = io.ReadAll(reader)
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		call.refuse(http.StatusRequestEntityTooLarge, "the body is over the limit")
+	case err != nil:
+		call.refuse(http.StatusBadRequest, "the body was not received whole")
+	}
+	return err == nil
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	stdlog "log"
 	"strings"
 	"sync"
 
@@ -41,6 +42,11 @@
 	return logger
 }
 
+// Standard returns a logger of the standard library whose lines are warnings of a part.
+func (logs *Logs) Standard(name string) *stdlog.Logger {
+	return logs.Part(name).StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
+}
+
 // SetLevel changes the level of all loggers. It returns an error, and changes
 // nothing, for an unknown level.
 func (logs *Logs) SetLevel(text string) error {
