Repeat the fetch of a route table until it is there

Control VMs name the number of the table once; the only fetch met the election and nobody tried again. Ruled out: the replicas (a leader 0.7 s after the kill).

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +56,10 @@
 	// lock is table 2 of the lock order.
 	lock     sync.Mutex
 	followed map[core.VMID]bool
+	// wanted is the largest number that a control VM has named, and source the VM that
+	// named one last.
+	wanted core.ConfigNumber
+	source core.VMID
 }
 
 // Follow starts to follow the control VMs and returns a function that stops it.
@@ -145,14 +151,19 @@
 		table.SetEntryVMs(int(event.GetEntryVms()))
 	}
 	if number := core.ConfigNumber(event.GetRoutesNumber()); number > table.Number() {
-		follower.fetch(vm)
+		follower.fetch(vm, number)
 	}
 }
 
-// fetch brings the route table up to the number that a control VM has named. Before the
-// first table, a majority must have confirmed it: a control VM that is cut off may hold
-// an old one, and this VM may have served a newer one in its last life.
-func (follower *Follower) fetch(vm core.VMID) {
+// fetch brings the route table up to a number that a control VM has named, and tries again
+// until it has. Before the first table, a majority must have confirmed it: a control VM
+// that is cut off may hold an old one, and this VM may have served a newer one in its last
+// life.
+func (follower *Follower) fetch(vm core.VMID, number core.ConfigNumber) {
+	follower.lock.Lock()
+	follower.wanted = max(follower.wanted, number)
+	follower.source = vm
+	follower.lock.Unlock()
 	select {
 	case follower.fetching <- struct{}{}:
 	default:
@@ -160,13 +171,40 @@
 	}
 	follower.running.Go(func() {
 		defer func() { <-follower.fetching }()
-		if err := follower.load(vm); err != nil {
-			follower.parts.Logger.Warn("The route table was not fetched.", "control", vm, "error", err)
-			pause(follower.ctx, retryPause)
+		for follower.ctx.Err() == nil {
+			vm, number := follower.nextFetch()
+			if follower.parts.Table.Number() >= number {
+				return
+			}
+			if err := follower.load(vm); err != nil {
+				follower.parts.Logger.Warn("The route table was not fetched.", "control", vm, "number", number, "error", err)
+				follower.rotate(vm)
+				pause(follower.ctx, fetchPause)
+			}
 		}
 	})
 }
 
+// fetchPause is the pause after a fetch that failed. An election takes 0.5 s to 1.5 s.
+const fetchPause = 100 * time.Millisecond
+
+// rotate lets the next fetch ask another control VM than the one that failed.
+func (follower *Follower) rotate(failed core.VMID) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	vms := slices.Sorted(maps.Keys(follower.followed))
+	if at := slices.Index(vms, failed); at >= 0 && follower.source == failed {
+		follower.source = vms[(at+1)%len(vms)]
+	}
+}
+
+// nextFetch returns the control VM to ask and the number that it must have.
+func (follower *Follower) nextFetch() (core.VMID, core.ConfigNumber) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	return follower.source, follower.wanted
+}
+
 func (follower *Follower) load(vm core.VMID) error {
 	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
 	defer cancel()
@@ -178,7 +216,7 @@
 	}
 	page := response.GetRoutesPage()
 	if page.GetNumber() == 0 {
-		return errors.New("the control VM has no route table")
+		return errors.New("the control VM has no route table yet")
 	}
 	var routes core.RouteTable
 	if err := json.Unmarshal(page.GetTable(), &routes); err != nil {
@@ -236,11 +274,15 @@
 	}
 	revision := follower.parts.Table.Revision(query.Weights)
 	deadline := time.Now().Add(wait)
-	for _, owner := range follower.parts.Table.OwnersFor(query, more) {
+	owners := follower.parts.Table.OwnersFor(query, more)
+	for i, owner := range owners {
 		left := time.Until(deadline)
 		if left <= 0 || ctx.Err() != nil {
 			return "", reason
 		}
+		if i+1 < len(owners) {
+			left = left * firstShare / 100
+		}
 		upstream, why := follower.ask(ctx, owner, &wire.Place{
 			Service: string(query.Service), Model: string(query.Weights.Model), Adapter: string(query.Weights.Adapter),
 			Revision: uint64(revision), Exclude: exclude, WaitMillis: left.Milliseconds(),
@@ -253,6 +295,10 @@
 	return "", reason
 }
 
+// firstShare is the part, in percent, of the time left for which one owner is waited for
+// while there are others.
+const firstShare = 60
+
 // placeSlack is the time that the answer of an owner may take beyond its wait.
 const placeSlack = 50 * time.Millisecond
 
