--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -12,7 +12,8 @@
 
 // Logs makes loggers that share a level. Use New; the zero value is not usable.
 type Logs struct {
-	out io.Writer
+	out       io.Writer
+	formatter log.Formatter
 
 	// mutex guards level and parts and is held for no other lock.
 	mutex sync.Mutex
@@ -30,13 +31,23 @@
 	return logs, nil
 }
 
+// NewStructured returns logs like New with one line of key=value pairs for each entry.
+func NewStructured(out io.Writer, level string, secrets ...string) (*Logs, error) {
+	logs, err := New(out, level, secrets...)
+	if err != nil {
+		return nil, err
+	}
+	logs.formatter = log.LogfmtFormatter
+	return logs, nil
+}
+
 // Part returns the logger of a part. The same name gives the same logger.
 func (logs *Logs) Part(name string) *log.Logger {
 	logs.mutex.Lock()
 	defer logs.mutex.Unlock()
 	logger, ok := logs.parts[name]
 	if !ok {
-		logger = log.NewWithOptions(logs.out, log.Options{Prefix: name, Level: logs.level, ReportTimestamp: true})
+		logger = log.NewWithOptions(logs.out, log.Options{Prefix: name, Level: logs.level, ReportTimestamp: true, Formatter: logs.formatter})
 		logs.parts[name] = logger
 	}
 	return logger
