Wait for room for an adapter instead of refusing it

Place answered "nowhere" while every adapter of an engine had been asked for in the last 0.8 s. The load now waits and looks for room every 100 ms.

--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -35,10 +35,12 @@
 // that waits behind others, or that pushes an adapter out, costs the more the more there
 // are.
 const (
-	warmBonus   = 1.0
-	wantCost    = 0.1
-	evictCost   = 0.1
-	demandCost  = 0.01
+	warmBonus  = 1.0
+	wantCost   = 0.1
+	evictCost  = 0.1
+	demandCost = 0.01
+	// busyCost is that of an engine all of whose adapters are in use: the load waits.
+	busyCost    = 0.5
 	missingBase = 4.0
 	// homeBonus lets the same adapter go to the same engine while others are as good. A
 	// load from the store costs ten times as much as one of a warm adapter.
@@ -57,6 +59,7 @@
 
 // Place returns an engine that holds the weights. If there is none, it decides on a load.
 func (table *Table) Place(now time.Duration, query Query) (core.UpstreamID, Placement) {
+	query.Revision = max(query.Revision, table.revisions[query.Weights])
 	var ready *engine
 	comes := false
 	for _, engine := range table.sorted() {
@@ -130,7 +133,10 @@
 		return cost, true
 	}
 	_, lost, ok := table.victim(now, engine)
-	return cost + evictCost + demandCost*lost, ok
+	if !ok {
+		return cost + busyCost, true
+	}
+	return cost + evictCost + demandCost*lost, true
 }
 
 // settled is the time after which a copy that nobody is known to have asked for may be
--- a/pkg/policy/residency/plan.go
+++ b/pkg/policy/residency/plan.go
@@ -55,9 +55,22 @@
 	if order := table.loadWanted(now, engine); order != nil {
 		return order, 0
 	}
-	return nil, engine.nextCheck()
+	return nil, engine.nextLook(now)
 }
 
+// nextLook is the time of the next question about a load, or of the next look at wanted
+// loads that found no room.
+func (engine *engine) nextLook(now time.Duration) time.Duration {
+	at := engine.nextCheck()
+	if len(engine.wants) > 0 && engine.transit() < maxTransit && (at == 0 || at > now+roomInterval) {
+		at = now + roomInterval
+	}
+	return at
+}
+
+// roomInterval is the time between two looks for an adapter that may be unloaded.
+const roomInterval = 100 * time.Millisecond
+
 func (engine *engine) order(kind OrderKind, key core.WeightKey, revision core.Revision) *Order {
 	return &Order{
 		Kind: kind, Upstream: engine.id, Born: engine.born, Address: engine.address,
--- /dev/null
+++ b/pkg/policy/selection/script_test.go
@@ -0,0 +1,54 @@
+package selection
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestScripts guards against a choice that prefers a failing, silent or full upstream, or
+// that leaves the zone without need.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			var candidates []Candidate
+			var names []string
+			for line := range strings.Lines(data.Input) {
+				fields := strings.Fields(line)
+				names = append(names, fields[0])
+				candidates = append(candidates, parse(fields[1:]))
+			}
+			at, cost := Choose(candidates, 0)
+			if at < 0 {
+				return "none\n"
+			}
+			return fmt.Sprintf("%s cost=%.2f\n", names[at], cost)
+		})
+	})
+}
+
+func parse(fields []string) Candidate {
+	candidate := Candidate{Slots: 10}
+	for _, field := range fields {
+		name, value, _ := strings.Cut(field, "=")
+		number, _ := strconv.ParseFloat(value, 64)
+		switch name {
+		case "local":
+			candidate.Local = true
+		case "silent":
+			candidate.Silent = true
+		case "running":
+			candidate.Running = int(number)
+		case "others":
+			candidate.Others = int(number)
+		case "slots":
+			candidate.Slots = int(number)
+		case "faults":
+			candidate.Faults = number
+		}
+	}
+	return candidate
+}
