--- a/pkg/replica/ledger/script_test.go
+++ b/pkg/replica/ledger/script_test.go
@@ -47,6 +47,20 @@
 		return script.record(data)
 	case "crash":
 		return script.crash(data)
+	case "routes":
+		result := script.apply(data, Command{PutRoutes: &PutRoutes{
+			Table: core.RouteTable{Number: core.ConfigNumber(number(data, "number"))}, Document: []byte(data.Input),
+		}})
+		return fmt.Sprintf("changed=%t number=%d conflict=%t", result.PutRoutes.Changed, result.PutRoutes.Number, result.PutRoutes.Conflict)
+	case "document":
+		table, document := script.state.Routes()
+		return fmt.Sprintf("%d: %s", table.Number, document)
+	case "revision":
+		key := core.WeightKey{Model: "m", Adapter: core.AdapterID(text(data, "adapter"))}
+		result := script.apply(data, Command{NameRevision: &NameRevision{Weights: key, Revision: core.Revision(number(data, "revision"))}})
+		return fmt.Sprintf("newest=%d", result.NameRevision.Newest)
+	case "revisions":
+		return render(script.state.RevisionsSince(uint64(number(data, "since"))))
 	case "restart":
 		return script.restart()
 	case "at":
--- /dev/null
+++ b/pkg/replica/raft/plan_test.go
@@ -0,0 +1,67 @@
+package raft
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// TestPlan guards against a silent replica that stays a voter for ever, against one that is
+// removed before its successor votes, and against a removal for a mere partition.
+func TestPlan(t *testing.T) {
+	datadriven.RunTest(t, "testdata/plan", func(t *testing.T, data *datadriven.TestData) string {
+		if data.Cmd != "plan" {
+			return "unknown command\n"
+		}
+		members, view := parseView(data)
+		step, ok := members.Plan(view)
+		if !ok {
+			return "nothing\n"
+		}
+		return fmt.Sprintf("%s %s\n", step.Kind, step.Replica)
+	})
+}
+
+// parseView reads a replica a line: vm/disk, zone, its part, and the surveys it missed.
+func parseView(data *datadriven.TestData) (Membership, View) {
+	var members Membership
+	view := View{Missed: make(map[core.VMID]int), Zones: make(map[core.VMID]core.ZoneID), Patience: 30, SuccessorPatience: 6}
+	for _, arg := range data.CmdArgs {
+		if arg.Key == "voters" {
+			view.Voters, _ = strconv.Atoi(arg.Vals[0])
+		}
+	}
+	for line := range strings.Lines(data.Input) {
+		fields := strings.Fields(line)
+		vm, disk, _ := strings.Cut(fields[0], "/")
+		id := ReplicaID{VM: core.VMID(vm), Incarnation: core.Incarnation(disk)}
+		view.Zones[id.VM] = core.ZoneID(fields[1])
+		missed := 0
+		for _, field := range fields[2:] {
+			switch field {
+			case "voter":
+				members.Voters = append(members.Voters, id)
+			case "learner":
+				members.Learners = append(members.Learners, id)
+			case "self":
+				view.Self = id
+			case "lost":
+				missed = -1
+			default:
+				missed, _ = strconv.Atoi(field)
+			}
+		}
+		switch {
+		case missed == 0:
+			view.Present = append(view.Present, id)
+		case missed > 0:
+			view.Missed[id.VM] = missed
+		}
+	}
+	return members, view
+}
