End the streams of a link before its session

The loop runs from the moment at which a session is marked as shut until its streams are marked too, whichever side ends it; with processor time not charged it starves the goroutine that would end it. The link now knows its streams and lets their reads fail first; a failed write is shown to the reader only.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -37,8 +37,10 @@
 	config := yamux.DefaultConfig()
 	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = pingTimeout
-	config.StreamOpenTimeout = pingTimeout
-	config.StreamCloseTimeout = pingTimeout
+	// The ping of this package notices a silent link first, and ends its streams before
+	// the session; these timeouts would end the session at once.
+	config.StreamOpenTimeout = 10 * pingTimeout
+	config.StreamCloseTimeout = 10 * pingTimeout
 	config.MaxStreamWindowSize = 1 << 20
 	config.LogOutput = io.Discard
 	return config
@@ -128,6 +130,8 @@
 		return &UnreachableError{VM: vm, Err: errors.Wrap(err, "open stream")}
 	}
 	defer stream.Close()
+	link.streams.add(stream)
+	defer link.streams.remove(stream)
 	stop := context.AfterFunc(ctx, func() {
 		_ = stream.SetDeadline(time.Unix(1, 0))
 		stream.Close()
@@ -210,7 +214,7 @@
 }
 
 func (client *Client) dial(vm core.VMID, address string, link *link) {
-	link.session, link.incarnation, link.err = client.open(vm, address)
+	link.err = client.open(vm, address, link)
 	if link.err != nil {
 		link.failedAt = time.Now()
 		link.close()
@@ -221,11 +225,11 @@
 	client.ping(vm, link)
 }
 
-func (client *Client) open(vm core.VMID, address string) (*yamux.Session, core.Incarnation, error) {
+func (client *Client) open(vm core.VMID, address string, link *link) error {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(client.ctx, "tcp", address)
 	if err != nil {
-		return nil, "", errors.Wrap(err, "dial")
+		return errors.Wrap(err, "dial")
 	}
 	if client.self.TLS != nil {
 		conn = tls.Client(conn, client.self.TLS)
@@ -236,14 +240,16 @@
 	}
 	if err != nil {
 		conn.Close()
-		return nil, "", errors.Wrap(err, "open link")
+		return errors.Wrap(err, "open link")
 	}
-	session, err := yamux.Client(newBatchConn(conn), sessionConfig())
+	batch := newBatchConn(conn, &link.streams)
+	session, err := yamux.Client(batch, sessionConfig())
 	if err != nil {
-		conn.Close()
-		return nil, "", errors.Wrap(err, "open session")
+		batch.Close()
+		return errors.Wrap(err, "open session")
 	}
-	return session, core.Incarnation(peer.Incarnation), nil
+	link.conn, link.session, link.incarnation = batch, session, core.Incarnation(peer.Incarnation)
+	return nil
 }
 
 // ping checks the link until it is closed or does not answer in time.
@@ -268,7 +274,7 @@
 	}
 }
 
-// link is one connection to a peer. session, incarnation, err and failedAt are set
+// link is one connection to a peer. conn, session, incarnation, err and failedAt are set
 // before ready is closed; lastError, the error of the dial before, does not change.
 type link struct {
 	lastError   error
@@ -276,6 +282,8 @@
 	ready       chan struct{}
 	closed      chan struct{}
 	once        sync.Once
+	conn        net.Conn
+	streams     streams
 	session     *yamux.Session
 	incarnation core.Incarnation
 	err         error
@@ -316,8 +324,8 @@
 func (link *link) close() {
 	link.once.Do(func() {
 		close(link.closed)
-		if link.session != nil {
-			link.session.Close()
+		if link.conn != nil {
+			link.conn.Close() // which ends the session, see batchConn
 		}
 	})
 }
@@ -331,6 +339,8 @@
 	if err := stream.SetDeadline(time.Now().Add(pingTimeout)); err != nil {
 		return errors.Wrap(err, "set ping deadline")
 	}
+	link.streams.add(stream)
+	defer link.streams.remove(stream)
 	request := &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{Sequence: sequence}}}
 	if err := writeFrame(stream, request); err != nil {
 		return errors.Wrap(err, "send ping")
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -78,14 +78,16 @@
 		server.logger.Warn("Link refused.", "address", conn.RemoteAddr(), "error", err)
 		return
 	}
-	session, err := yamux.Server(newBatchConn(conn), sessionConfig())
+	var open streams
+	batch := newBatchConn(conn, &open)
+	defer batch.Close()
+	session, err := yamux.Server(batch, sessionConfig())
 	if err != nil {
 		server.logger.Error("Link not opened.", "peer", from, "error", err)
 		return
 	}
-	defer session.Close()
 	// A link on which no ping arrives is silent, and nobody hears its answers.
-	silence := time.AfterFunc(linkSilence, func() { session.Close() })
+	silence := time.AfterFunc(linkSilence, func() { batch.Close() })
 	defer silence.Stop()
 	for {
 		stream, err := session.AcceptStream()
@@ -93,7 +95,11 @@
 			return
 		}
 		silence.Reset(linkSilence)
-		server.running.Go(func() { server.serveStream(from, stream) })
+		open.add(stream)
+		server.running.Go(func() {
+			defer open.remove(stream)
+			server.serveStream(from, stream)
+		})
 	}
 }
 
