--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -160,6 +160,8 @@
 		switch placement {
 		case residency.Ready:
 			return &wire.PlaceResult{Placed: true, Upstream: string(upstream), Revision: uint64(query.Revision)}
+		case residency.Full:
+			return &wire.PlaceResult{Reason: "too many loads wait for the engines", Late: true}
 		case residency.Nowhere:
 			return &wire.PlaceResult{Reason: "no engine can take the weights"}
 		}
--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -18,7 +18,9 @@
 	Ready Placement = iota + 1
 	// Coming means that a load was decided or is under way.
 	Coming
-	// Nowhere means that no engine of the zone can take the weights now.
+	// Full means that too many loads wait for the engines of the zone.
+	Full
+	// Nowhere means that the zone has no engine for the weights.
 	Nowhere
 )
 
@@ -81,8 +83,11 @@
 	case comes:
 		return "", Coming
 	}
-	chosen := table.choose(now, query)
-	if chosen == nil {
+	chosen, full := table.choose(now, query)
+	switch {
+	case chosen == nil && full:
+		return "", Full
+	case chosen == nil:
 		return "", Nowhere
 	}
 	chosen.wants = append(chosen.wants, want{weights: query.Weights, revision: query.Revision, asked: now})
@@ -93,20 +98,21 @@
 	return engine.service == query.Service && engine.synced && !engine.leaving && !slices.Contains(query.Exclude, engine.id)
 }
 
-// choose returns the engine on which the weights cost least.
-func (table *Table) choose(now time.Duration, query Query) *engine {
-	var chosen *engine
+// choose returns the engine on which the weights cost least. If there is none, it reports
+// whether some have too many loads before them.
+func (table *Table) choose(now time.Duration, query Query) (chosen *engine, full bool) {
 	var least float64
 	for _, engine := range table.sorted() {
 		if !table.eligible(engine, query) || !engine.serves(query.Weights.Model) {
 			continue
 		}
 		cost, ok := table.cost(now, engine, query.Weights)
+		full = full || !ok
 		if ok && (chosen == nil || cost < least) {
 			chosen, least = engine, cost
 		}
 	}
-	return chosen
+	return chosen, full
 }
 
 func (engine *engine) serves(model core.ModelID) bool {
--- a/pkg/policy/residency/script_test.go
+++ b/pkg/policy/residency/script_test.go
@@ -82,6 +82,8 @@
 		return fmt.Sprintf("ready %s\n", id)
 	case Coming:
 		return "coming\n"
+	case Full:
+		return "full\n"
 	default:
 		return "nowhere\n"
 	}
