Do not end a stream for a pause

The gateway broke a resumable stream off after a pause of 1.8 s and then found no other place to go on. Ruled out: the reload of settings, which touches no connection.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -47,8 +47,8 @@
 
 const (
 	// overloadCost is the cost of a send from which another copy of the weights is asked
-	// for: the engine's slots are nearly taken.
-	overloadCost = 0.9
+	// for: requests begin to wait in the engine.
+	overloadCost = 1.2
 	// queueCost is the cost from which a request waits for another copy itself: those
 	// before it in the engine's queue take longer than a load.
 	queueCost = 2.5
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 )
@@ -13,21 +12,16 @@
 const (
 	// chunkBytes is the size of the reads of a stream. Events have some hundred bytes.
 	chunkBytes = 8 << 10
-	// silenceLimit is the pause in a resumable stream after which another upstream is
-	// asked to go on. Callers leave after two seconds or more.
-	silenceLimit = 1800 * time.Millisecond
 )
 
 // stream passes events on as they arrive. Only whole events are passed on, so that the
-// stream can go on at another upstream.
+// stream can go on at another upstream. A pause does not end it: a busy engine may have
+// put the request back, and there may be no other place to go on.
 func (attempt *attempt) stream(ctx context.Context, response *http.Response) next {
 	call := attempt.call
 	events := events{}
 	chunk := make([]byte, chunkBytes)
 	for {
-		if call.route.Repeatable() {
-			_ = attempt.conn.SetReadDeadline(time.Now().Add(silenceLimit))
-		}
 		count, err := response.Body.Read(chunk)
 		if whole := events.add(chunk[:count]); len(whole) > 0 {
 			if !attempt.pass(response, whole) {
@@ -65,7 +59,6 @@
 
 func (attempt *attempt) endStream(response *http.Response) next {
 	call := attempt.call
-	_ = attempt.conn.SetReadDeadline(time.Time{})
 	attempt.observe(fleet.Answered)
 	call.gateway.conns.Put(attempt.key, attempt.conn)
 	if !call.committed { // a stream without events
