--- a/pkg/policy/residency/order.go
+++ b/pkg/policy/residency/order.go
@@ -113,14 +113,14 @@
 
 // The defaults of Timing. The times of loads are those of the operators' engines.
 const (
-	defaultWarm     = 26 * time.Millisecond
-	defaultCold     = 250 * time.Millisecond
-	defaultCheck    = 40 * time.Millisecond
-	defaultLag      = 400 * time.Millisecond
-	defaultAbandon  = 8 * time.Second
-	// defaultHalfLife weighs an adapter that is asked for every 4 s some ten times as much as
-	// one that was asked for once; with 6 s the rare ones pushed out a third of the others.
-	defaultHalfLife = 25 * time.Second
+	defaultWarm    = 26 * time.Millisecond
+	defaultCold    = 250 * time.Millisecond
+	defaultCheck   = 40 * time.Millisecond
+	defaultLag     = 400 * time.Millisecond
+	defaultAbandon = 8 * time.Second
+	// defaultHalfLife weighs an adapter that is asked for every 4 s some four times as much
+	// as one that was asked for once, and forgets within the 10 s in which demand moves.
+	defaultHalfLife = 10 * time.Second
 )
 
 func (timing Timing) withDefaults() Timing {
--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -37,10 +37,14 @@
 // that waits behind others, or that pushes an adapter out, costs the more the more there
 // are.
 const (
-	warmBonus  = 1.0
-	wantCost   = 0.1
-	evictCost  = 0.1
-	demandCost = 0.01
+	// crowdCost lets an adapter go elsewhere than to its home when more than crowdedFrom of
+	// the home's slots are taken.
+	crowdCost   = 4.0
+	crowdedFrom = 0.5
+	warmBonus   = 1.0
+	wantCost    = 0.1
+	evictCost   = 0.1
+	demandCost  = 0.01
 	// busyCost is that of an engine all of whose adapters are in use: the load waits.
 	busyCost    = 0.5
 	missingBase = 4.0
@@ -120,13 +124,13 @@
 }
 
 // maxWants bounds the loads that wait for one engine.
-const maxWants = 8
+const maxWants = 4
 
 func (table *Table) cost(now time.Duration, engine *engine, key core.WeightKey) (float64, bool) {
 	if len(engine.wants) >= maxWants {
 		return 0, false
 	}
-	cost := engine.load() + wantCost*float64(len(engine.wants)+engine.transit())
+	cost := engine.load() + crowdCost*max(0, engine.load()-crowdedFrom) + wantCost*float64(len(engine.wants)+engine.transit())
 	if base := engine.copies[core.WeightKey{Model: key.Model}]; base == nil || base.phase != resident {
 		cost += missingBase
 	}
@@ -149,7 +153,7 @@
 
 // settled is the time after which a copy that nobody is known to have asked for may be
 // unloaded. Reports of use come every half second.
-const settled = 800 * time.Millisecond
+const settled = 500 * time.Millisecond
 
 // victim returns the idle adapter that is missed least, and its demand.
 func (table *Table) victim(now time.Duration, engine *engine) (core.WeightKey, float64, bool) {
