--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,7 +36,6 @@
 	Zone core.ZoneID
 	// OperatorAddress is where upstreams and operators reach this VM.
 	OperatorAddress string
-	Seeds           []core.VMID
 	Zones           int
 	// EnginesCheckTokens is set where engines refuse orders with an old fencing token.
 	EnginesCheckTokens bool
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -23,7 +23,7 @@
 	ticker := time.NewTicker(followPause)
 	defer ticker.Stop()
 	for {
-		for _, vm := range append(control.peers.VMs(), control.parts.Seeds...) {
+		for _, vm := range control.peers.withSeeds() {
 			if !followed[vm] {
 				followed[vm] = true
 				running.Go(func() { control.follow(ctx, vm) })
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
@@ -85,8 +86,8 @@
 			order = append(order, leader)
 		}
 	}
-	for _, vm := range append(control.peers.VMs(), control.parts.Seeds...) {
-		if len(order) == 0 || vm != order[0] {
+	for _, vm := range control.peers.withSeeds() {
+		if !slices.Contains(order, vm) {
 			order = append(order, vm)
 		}
 	}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -35,6 +35,26 @@
 	// lock is table 4 of the lock order.
 	lock  sync.Mutex
 	peers map[core.VMID]*knownPeer
+	seeds []core.VMID
+}
+
+// AddSeeds adds control VMs that the settings name.
+func (peers *Peers) AddSeeds(seeds []core.VMID) {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	for _, seed := range seeds {
+		if !slices.Contains(peers.seeds, seed) {
+			peers.seeds = append(peers.seeds, seed)
+		}
+	}
+}
+
+// withSeeds returns the known control VMs and those that the settings name.
+func (peers *Peers) withSeeds() []core.VMID {
+	all := peers.VMs()
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	return append(all, peers.seeds...)
 }
 
 // NewPeers returns the control VMs known at the start.
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -85,6 +88,7 @@
 		return
 	}
 	outcome := control.parts.Engines.Order(ctx, order, zone.token)
+	orderCounts.Inc(order.Kind.String(), outcome.String())
 	if !order.Check || outcome != residency.Holds && outcome != residency.Accepted {
 		control.parts.Logger.Debug("An engine answered an order.", "upstream", order.Upstream, "order", order.Kind.String(),
 			"weights", order.Weights.String(), "revision", order.Revision, "expected", order.Expected, "check", order.Check, "outcome", outcome.String())
@@ -139,7 +143,12 @@
 // place answers a VM that needs an engine with certain weights.
 func (control *Control) place(ctx context.Context, request *wire.Place) *wire.PlaceResult {
 	result := control.placeWithin(ctx, request)
-	control.parts.Logger.Debug("An engine was asked for.", "weights", request.GetModel()+"/"+request.GetAdapter(), "revision", request.GetRevision(),
+	placeCounts.Inc(strconv.FormatBool(result.GetPlaced()), result.GetReason())
+	level := log.DebugLevel
+	if !result.GetPlaced() {
+		level = log.InfoLevel
+	}
+	control.parts.Logger.Log(level, "An engine was asked for.", "request", request.GetRequest(), "weights", request.GetModel()+"/"+request.GetAdapter(), "revision", request.GetRevision(),
 		"exclude", request.GetExclude(), "wait_millis", request.GetWaitMillis(), "placed", result.GetPlaced(), "upstream", result.GetUpstream(), "reason", result.GetReason())
 	return result
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -285,7 +285,7 @@
 		}
 		upstream, why, final := follower.ask(ctx, owner, &wire.Place{
 			Service: string(query.Service), Model: string(query.Weights.Model), Adapter: string(query.Weights.Adapter),
-			Revision: uint64(revision), Exclude: exclude, WaitMillis: left.Milliseconds(),
+			Revision: uint64(revision), Exclude: exclude, Request: string(query.Request), WaitMillis: left.Milliseconds(),
 		}, left)
 		if upstream != "" {
 			return upstream, ""
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -252,6 +252,8 @@
 	Weights core.WeightKey
 	// Exclude lists upstreams that were tried.
 	Exclude []core.UpstreamID
+	// Request is the request that waits, for the log.
+	Request core.RequestID
 }
 
 // Pick is a chosen upstream.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -84,6 +84,7 @@
 		outcome := call.send(ctx, pick)
 		call.gateway.parts.Table.Finish(pick)
 		if outcome == finished {
+			requestCounts.Inc(call.kind().String(), "answered")
 			return
 		}
 		if !retry.May(call.route, call.history) {
@@ -97,7 +98,7 @@
 // choose returns the upstream of the next send. Weights that no engine holds, or only full
 // ones, are asked for at the owner of the zone's engines.
 func (call *call) choose(ctx context.Context) (fleet.Pick, string, bool) {
-	query := fleet.Query{Service: call.service, Weights: call.request.Weights, Exclude: call.tried}
+	query := fleet.Query{Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Request: call.request.ID}
 	table := call.gateway.parts.Table
 	pick, ok := table.Choose(clock.Now(), query)
 	if ok && (pick.Cost < overloadCost || query.Weights.Adapter == "") {
@@ -183,6 +184,7 @@
 	if call.route != nil {
 		name = call.route.Name
 	}
+	requestCounts.Inc(call.kind().String(), outcome)
 	call.gateway.parts.Logger.Info("A request ended.", "request", call.request.ID, "outcome", outcome, "status", status, "reason", reason,
 		"route", name, "service", call.service, "weights", call.request.Weights.String(), "sends", call.history.Sends, "runs", call.history.Runs,
 		"tried", call.tried, "routes_number", call.gateway.parts.Table.Number(), "millis", time.Since(call.start).Milliseconds())
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/dandelionring/dandelionring/internal/telemetry"
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+var (
+	requestCounts = telemetry.NewCounters("dandelionring_requests_total", "kind", "outcome")
+	sendCounts    = telemetry.NewCounters("dandelionring_sends_total", "kind", "result")
+	// answerSeconds holds the time to the head of the answer by the kind of the route.
+	answerSeconds = func() (histograms [core.Stream + 1]*metrics.Histogram) {
+		for kind := range histograms {
+			name := fmt.Sprintf("dandelionring_answer_seconds{kind=%q}", core.RouteKind(kind))
+			histograms[kind] = metrics.GetOrCreateHistogram(name)
+		}
+		return histograms
+	}()
+)
+
+// kind returns the kind of the call's route, zero before one was found.
+func (call *call) kind() core.RouteKind {
+	if call.route == nil {
+		return 0
+	}
+	return call.route.Kind
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -73,6 +73,7 @@
 
 func (attempt *attempt) log(event string, err error) {
 	call := attempt.call
+	sendCounts.Inc(call.kind().String(), event)
 	call.gateway.parts.Logger.Info("A send failed.", "request", call.request.ID, "event", event, "upstream", attempt.pick.Upstream,
 		"zone", attempt.pick.Zone, "cost", attempt.pick.Cost, "sends", call.history.Sends, "runs", call.history.Runs,
 		"millis", time.Since(call.start).Milliseconds(), "error", err)
@@ -88,6 +89,7 @@
 		attempt.drop()
 		return attempt.lost(ctx, "not written", err)
 	}
+	sendCounts.Inc(call.kind().String(), "sent")
 	response, verdict, err := attempt.ownHead() //nolint:bodyclose // each branch reads the body and gives the connection back or closes it
 	if err != nil {
 		call.history.Runs++
@@ -193,6 +195,7 @@
 		return again
 	}
 	attempt.observe(fleet.Answered)
+	answerSeconds[call.kind()].UpdateDuration(call.start)
 	answer.write(call.writer)
 	return finished
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,7 @@
 	call := attempt.call
 	if !call.committed {
 		call.committed = true
+		answerSeconds[call.kind()].UpdateDuration(call.start)
 		copyHeader(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -15,6 +15,7 @@
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/pool"
 	"github.com/dandelionring/dandelionring/internal/replication"
+	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 )
@@ -26,6 +27,8 @@
 	// PeerAddress and OperatorAddress are what it listens on.
 	PeerAddress     string
 	OperatorAddress string
+	// MetricsAddress serves counts; empty for none.
+	MetricsAddress string
 	// Seeds are the control VMs to begin with. On the first start of a deployment they
 	// form the group of replicas.
 	Seeds []core.VMID
@@ -39,6 +42,8 @@
 	Zones              int
 	EnginesCheckTokens bool
 	AnnounceInterval   time.Duration
+	// Reload returns the seeds of the present settings.
+	Reload func() ([]core.VMID, error)
 }
 
 // Engines carries orders to engines.
@@ -56,7 +61,7 @@
 
 // RunControl runs a control VM until stop is closed. The handler serves operators and
 // upstreams.
-func RunControl(settings ControlSettings, engines Engines, handler func(*control.Control) http.Handler, logs *logging.Logs, stop <-chan struct{}) error {
+func RunControl(settings ControlSettings, engines Engines, handler func(*control.Control) http.Handler, logs *logging.Logs, stop, reload <-chan struct{}) error {
 	identity := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.Secret)}
 	calls, closeCalls := peer.NewClient(identity, nil, logs.Part("peer"))
 	defer closeCalls()
@@ -78,17 +83,19 @@
 			logger.Warn("The replicated state was not closed.", "error", err)
 		}
 	}()
+	defer telemetry.Serve(settings.MetricsAddress, logger)()
 	jobs, closeJobs := pool.New(orderWorkers, 0)
 	defer closeJobs()
 	node := control.New(control.Parts{
-		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Seeds: settings.Seeds, Zones: settings.Zones,
+		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Zones: settings.Zones,
 		EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
 		Host: replicas, Commands: host.NewClient(config, replicas, caller), Calls: calls, Engines: engines, Jobs: jobs, Logger: logger,
 	}, peers)
-	return serveControl(settings, node, identity, handler(node), logs, stop)
+	peers.AddSeeds(settings.Seeds)
+	return serveControl(settings, node, peers, identity, handler(node), logs, stop, reload)
 }
 
-func serveControl(settings ControlSettings, node *control.Control, identity peer.Identity, handler http.Handler, logs *logging.Logs, stop <-chan struct{}) error {
+func serveControl(settings ControlSettings, node *control.Control, peers *control.Peers, identity peer.Identity, handler http.Handler, logs *logging.Logs, stop, reload <-chan struct{}) error {
 	peerListener, err := listen(settings.PeerAddress)
 	if err != nil {
 		return err
@@ -115,10 +122,17 @@
 	go func() { failed <- server.Serve(operators) }()
 	logger := logs.Part("control")
 	logger.Info("Serving operators and upstreams.", "vm", settings.VM, "zone", settings.Zone, "address", settings.OperatorAddress, "first_start", settings.FirstStart)
-	select {
-	case err := <-failed:
-		return errors.Wrap(err, "serve operators")
-	case <-stop:
+	for waiting := true; waiting; {
+		select {
+		case err := <-failed:
+			return errors.Wrap(err, "serve operators")
+		case <-reload:
+			seeds, err := settings.Reload()
+			logger.Info("The settings were read again.", "seeds", len(seeds), "error", err)
+			peers.AddSeeds(seeds)
+		case <-stop:
+			waiting = false
+		}
 	}
 	logger.Info("Stopping.")
 	ending, cancelEnding := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/peer"
+	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -27,6 +28,8 @@
 	// CallerAddress and ReadyAddress are what it listens on.
 	CallerAddress string
 	ReadyAddress  string
+	// MetricsAddress serves counts; empty for none.
+	MetricsAddress string
 	// Seeds are the control VMs to begin with.
 	Seeds   []core.VMID
 	Secret  string
@@ -67,6 +70,8 @@
 // makes it read its settings again.
 func RunEntry(settings EntrySettings, dialect gateway.Dialect, logs *logging.Logs, stop <-chan struct{}, reload <-chan struct{}) error {
 	entry := &entry{settings: settings, logs: logs, logger: logs.Part("entry"), table: fleet.NewTable(settings.Zone)}
+	telemetry.Gauge("dandelionring_routes_number", func() float64 { return float64(entry.table.Number()) })
+	defer telemetry.Serve(settings.MetricsAddress, entry.logger)()
 	identity := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.Secret)}
 	calls, closeCalls := peer.NewClient(identity, nil, logs.Part("peer"))
 	defer closeCalls()
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,32 @@
+package telemetry
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+)
+
+// TestCounters guards against counts that are lost or that end under other labels.
+func TestCounters(t *testing.T) {
+	is := is.New(t)
+	counters := NewCounters("test_requests_total", "kind", "outcome")
+	counters.Inc("stream", "answered")
+	counters.Inc("stream", "answered")
+	counters.Inc("stream", "refused")
+	var out bytes.Buffer
+	metrics.WritePrometheus(&out, false)
+	is.True(strings.Contains(out.String(), `test_requests_total{kind="stream",outcome="answered"} 2`))
+	is.True(strings.Contains(out.String(), `test_requests_total{kind="stream",outcome="refused"} 1`))
+}
+
+// TestServeWithoutAddress guards against a VM that ends because its metrics cannot be
+// served.
+func TestServeWithoutAddress(t *testing.T) {
+	Serve("", log.New(io.Discard))()
+	Serve("192.0.2.1:1", log.New(io.Discard))() // an address of no machine
+}
