Recall upstreams and wait for the first route table after a restart

Entry VMs refused everything until a leader had confirmed the route table (0.9 s), and then until the upstreams had announced themselves again (up to 1.2 s more); a zone that had once been handed over got no orders for 3.5 s. Ruled out: the election (0.7 s) and the start of the processes. Control VMs now keep the known upstreams in a file, a hint that ends after 3 s for those that stay silent; requests wait for the first table for 1.2 s at most, and no longer than half of the caller's patience; an owner that owned the zone before it started goes on where engines check tokens.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -41,12 +41,14 @@
 	EnginesCheckTokens bool
 	// AnnounceInterval is the time between two announcements of an upstream.
 	AnnounceInterval time.Duration
-	Host             *host.Host
-	Commands         *host.Client
-	Calls            caller
-	Engines          engines
-	Jobs             *pool.Pool
-	Logger           *log.Logger
+	// RecallFile keeps the known upstreams over a restart; empty for none.
+	RecallFile string
+	Host       *host.Host
+	Commands   *host.Client
+	Calls      caller
+	Engines    engines
+	Jobs       *pool.Pool
+	Logger     *log.Logger
 }
 
 // Control is a running control VM.
@@ -68,6 +70,9 @@
 	running   map[core.VMID]use
 	spec      map[core.ServiceID]core.EngineSpec
 	revisions uint64
+	recall    recall
+	// applied is set after the replicated state was taken in once.
+	applied bool
 	// progress is closed and replaced whenever an order has ended.
 	progress chan struct{}
 }
@@ -116,13 +121,20 @@
 		running:   make(map[core.VMID]use),
 		spec:      make(map[core.ServiceID]core.EngineSpec),
 		progress:  make(chan struct{}),
+		recall:    recall{path: parts.RecallFile},
 	}
 }
 
 // Run works until the context ends.
 func (control *Control) Run(ctx context.Context) {
+	control.lock.Lock()
+	if control.recall.path != "" {
+		control.restore(clock.Now())
+	}
+	control.lock.Unlock()
 	var running sync.WaitGroup
 	running.Go(func() { control.followState(ctx) })
+	running.Go(func() { control.saveSteadily(ctx) })
 	running.Go(func() { control.renew(ctx) })
 	running.Go(func() { control.lead(ctx) })
 	running.Go(func() { control.followOthers(ctx) })
@@ -166,6 +178,7 @@
 	if !announced && !judged {
 		return
 	}
+	control.recall.dirty = true
 	if merged, ok := control.known.Get(instance.Upstream); ok {
 		control.setEngine(now, merged)
 	}
--- /dev/null
+++ b/internal/control/recall_test.go
@@ -0,0 +1,54 @@
+package control
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// TestRecall guards against a deployment that serves nothing after a restart until its
+// upstreams have announced themselves, against one that goes on with those that do not
+// come back, and against a damaged file that keeps a VM from starting.
+func TestRecall(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "upstreams.json")
+	parts := Parts{VM: "c", Zone: "z", RecallFile: path, AnnounceInterval: time.Second, Logger: log.New(io.Discard)}
+	upstream := func(id core.UpstreamID, sequence uint64) core.Instance {
+		return core.Instance{Upstream: id, Born: 1, Sequence: sequence, Service: "s", Address: "10.0.0.1:" + string(id), Zone: "z", Slots: 1}
+	}
+	before := New(parts, NewPeers(Peer{VM: "c", Zone: "z"}))
+	before.Announce(upstream("a", 5))
+	before.Announce(upstream("b", 7))
+	before.Announce(upstream("gone", 2))
+	before.Leave("gone")
+	before.save()
+
+	after := New(parts, NewPeers(Peer{VM: "c", Zone: "z"}))
+	after.restore(0)
+	known, _ := after.everything()
+	is.Equal(len(known), 2) // one that has left is not recalled
+	is.True(known[0].Silent && known[1].Silent)
+
+	after.Announce(upstream("a", 6))
+	after.settleRecall(recallTime - 1)
+	known, _ = after.everything()
+	is.True(!known[0].Silent)
+	is.True(!known[1].Gone)
+	after.settleRecall(recallTime)
+	known, _ = after.everything()
+	is.True(!known[0].Gone)
+	is.True(known[1].Gone)
+
+	is.NoErr(os.WriteFile(path, []byte(`[{"Upstream":`), recallMode))
+	damaged := New(parts, NewPeers(Peer{VM: "c", Zone: "z"}))
+	damaged.restore(0)
+	known, _ = damaged.everything()
+	is.Equal(len(known), 0)
+}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -175,6 +175,7 @@
 			zone.table.SetRevision(revision.Weights, revision.Revision)
 		}
 	}
+	control.applied = true
 	control.hub.state()
 	control.wake()
 }
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -16,9 +16,9 @@
 
 // takeoverWait is the time for which a new owner gives no order. The first owner of a
 // zone has nobody to wait for, and engines that check tokens refuse a former owner that
-// was lost.
+// was lost. A VM that owned the zone before it started goes on where engines check tokens.
 func (control *Control) takeoverWait(owner ledger.Ownership) time.Duration {
-	if owner.First || control.parts.EnginesCheckTokens && !owner.Live {
+	if owner.First || control.parts.EnginesCheckTokens && (!owner.Live || !control.applied) {
 		return 0
 	}
 	return leaseTime + leaseMargin
@@ -58,6 +58,7 @@
 		control.publish(now, instance)
 	}
 	control.known.Expire(now)
+	control.settleRecall(now)
 	next := tick
 	for _, zone := range control.owned {
 		if !control.mayOrder(now, zone) {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -39,6 +39,9 @@
 	zone  core.ZoneID
 	index atomic.Pointer[route.Index]
 	turn  atomic.Uint32
+	// first is closed once a route table is in force.
+	first     chan struct{}
+	firstOnce sync.Once
 
 	// lock is table 1 of the lock order: while it is held, only locks with a higher
 	// number may be taken.
@@ -57,6 +60,7 @@
 func NewTable(zone core.ZoneID) *Table {
 	return &Table{
 		zone:      zone,
+		first:     make(chan struct{}),
 		members:   membership.NewTable(membership.Timing{Silence: forgetAfter, Removal: forgetAfter}),
 		upstreams: make(map[core.UpstreamID]*upstream),
 		services:  make(map[core.ServiceID][]*upstream),
@@ -69,6 +73,9 @@
 // Routes returns the route table in force, or nil before there is one.
 func (table *Table) Routes() *route.Index { return table.index.Load() }
 
+// HasRoutes returns a channel that is closed once a route table is in force.
+func (table *Table) HasRoutes() <-chan struct{} { return table.first }
+
 // Number returns the number of the route table in force, zero before there is one.
 func (table *Table) Number() core.ConfigNumber {
 	index := table.index.Load()
@@ -88,6 +95,7 @@
 			return false
 		}
 		if table.index.CompareAndSwap(present, next) {
+			table.firstOnce.Do(func() { close(table.first) })
 			return true
 		}
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -38,6 +39,8 @@
 	parts  Parts
 	conns  h1.Pool
 	copies copies
+	// waiting counts the requests that wait for the first route table.
+	waiting atomic.Int32
 
 	// lock is table 2 of the lock order.
 	lock    sync.Mutex
@@ -61,7 +64,7 @@
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now()}
 	call.request = gateway.parts.Dialect.Parse(incoming)
-	index := gateway.parts.Table.Routes()
+	index := gateway.routes(call)
 	if index == nil {
 		call.refuse(http.StatusServiceUnavailable, "no route table is in force")
 		return
@@ -82,6 +85,39 @@
 	call.run()
 }
 
+const (
+	// firstRoutesWait is the time for which a request waits for the first route table of
+	// this VM. An election and a confirmed read take about a second after a restart of the
+	// whole deployment, and callers come back only once.
+	firstRoutesWait = 1200 * time.Millisecond
+	// maxWaiting bounds the requests that wait for the first route table.
+	maxWaiting = 512
+)
+
+// routes returns the route table in force, and nil if there is none in time.
+func (gateway *Gateway) routes(call *call) *route.Index {
+	if index := gateway.parts.Table.Routes(); index != nil {
+		return index
+	}
+	if gateway.waiting.Add(1) > maxWaiting {
+		gateway.waiting.Add(-1)
+		return nil
+	}
+	defer gateway.waiting.Add(-1)
+	wait := firstRoutesWait
+	if call.request.Patience > 0 {
+		wait = min(wait, call.request.Patience/2)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-gateway.parts.Table.HasRoutes():
+	case <-call.incoming.Context().Done():
+	case <-timer.C:
+	}
+	return gateway.parts.Table.Routes()
+}
+
 func (gateway *Gateway) budget(service core.ServiceID) *retry.Budget {
 	budget := gateway.budgets[service]
 	if budget == nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -89,7 +89,7 @@
 	node := control.New(control.Parts{
 		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Zones: settings.Zones,
 		EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
-		Host: replicas, Commands: host.NewClient(config, replicas, caller), Calls: calls, Engines: engines, Jobs: jobs, Logger: logger,
+		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, caller), Calls: calls, Engines: engines, Jobs: jobs, Logger: logger,
 	}, peers)
 	peers.AddSeeds(settings.Seeds)
 	return serveControl(settings, node, peers, identity, handler(node), logs, stop, reload)
--- a/internal/peer/streams_test.go
+++ b/internal/peer/streams_test.go
@@ -35,7 +35,7 @@
 	near, far := net.Pipe()
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	var open streams
-	returned := make(chan error, 1)
+	returned := make(chan struct{})
 	conn := &ending{Conn: newBatchConn(near, &open)}
 	conn.before = func() {
 		select {
@@ -50,8 +50,10 @@
 	is.NoErr(err)
 	open.add(stream)
 	go func() {
-		_, err := stream.Read(make([]byte, 1))
-		returned <- err
+		defer close(returned)
+		if _, err := stream.Read(make([]byte, 1)); err == nil {
+			t.Error("the stream was read after its end")
+		}
 	}()
 	far.Close()
 	<-session.CloseChan()
