Give a returning VM a lease only with the leader's state

Found by reading, for deployments whose engines do not check fencing tokens: a VM that comes back renews its lease with the leader before its replica has caught up, and still believes that it owns its zones; until then it could give orders with a token lower than the present owner's. The lease now counts only once the VM has taken in what the leader had applied when it gave it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,8 +71,10 @@
 	spec      map[core.ServiceID]core.EngineSpec
 	revisions uint64
 	recall    recall
-	// applied is set after the replicated state was taken in once.
-	applied bool
+	// applied is the index of the last command whose effect was taken in, and started is
+	// set after that was done once.
+	applied uint64
+	started bool
 	// progress is closed and replaced whenever an order has ended.
 	progress chan struct{}
 }
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -56,14 +56,24 @@
 		}
 		control.learn(result)
 		if result.GetLeader() {
-			control.lock.Lock()
-			control.lease = sent + time.Duration(result.GetLeaseMillis())*time.Millisecond
-			control.lock.Unlock()
+			control.extend(sent, result)
 			return
 		}
 	}
 }
 
+// extend takes in a lease that was asked for at the time sent. A VM that has been away may
+// not know yet that its zones were given to others: its lease counts only once it has taken
+// in what the leader had applied when it gave the lease.
+func (control *Control) extend(sent time.Duration, result *wire.HoldResult) {
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	if control.applied < result.GetApplied() {
+		return // asked for again with the next renewal
+	}
+	control.lease = sent + time.Duration(result.GetLeaseMillis())*time.Millisecond
+}
+
 func (control *Control) hold(ctx context.Context, vm core.VMID, request *wire.Request) *wire.HoldResult {
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -125,6 +135,7 @@
 	}
 	control.peers.grant(clock.Now(), vm)
 	result.Leader, result.LeaseMillis = true, leaseTime.Milliseconds()
+	replica.View(func(state *ledger.State) { result.Applied = state.Applied() })
 	return result
 }
 
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -160,6 +160,7 @@
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	replica.View(func(state *ledger.State) {
+		control.applied = state.Applied()
 		routes, _ = state.Routes()
 		owners = state.Owners()
 		revisions = state.RevisionsSince(control.revisions)
@@ -175,7 +176,7 @@
 			zone.table.SetRevision(revision.Weights, revision.Revision)
 		}
 	}
-	control.applied = true
+	control.started = true
 	control.hub.state()
 	control.wake()
 }
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -18,7 +18,7 @@
 // zone has nobody to wait for, and engines that check tokens refuse a former owner that
 // was lost. A VM that owned the zone before it started goes on where engines check tokens.
 func (control *Control) takeoverWait(owner ledger.Ownership) time.Duration {
-	if owner.First || control.parts.EnginesCheckTokens && (!owner.Live || !control.applied) {
+	if owner.First || control.parts.EnginesCheckTokens && (!owner.Live || !control.started) {
 		return 0
 	}
 	return leaseTime + leaseMargin
