--- a/pkg/policy/residency/engine.go
+++ b/pkg/policy/residency/engine.go
@@ -181,7 +181,8 @@
 	return slices.Contains(engine.recent, key)
 }
 
-func (engine *engine) forget(key core.WeightKey) {
+// retire notes that an adapter was unloaded, and is warm for some time.
+func (engine *engine) retire(key core.WeightKey) {
 	engine.recent = slices.DeleteFunc(engine.recent, func(other core.WeightKey) bool { return other == key })
 	engine.recent = append(engine.recent, key)
 	if len(engine.recent) > maxRecent {
--- a/pkg/policy/residency/plan.go
+++ b/pkg/policy/residency/plan.go
@@ -230,9 +230,9 @@
 	case outcome == Conflict:
 		table.lose(now, engine)
 	case order.Kind == Unload:
-		table.unloaded(now, engine, order, outcome)
+		table.unloadDone(now, engine, order, outcome)
 	default:
-		table.loaded(now, engine, order, outcome)
+		table.loadDone(now, engine, order, outcome)
 	}
 	return true
 }
@@ -260,7 +260,7 @@
 	}
 }
 
-func (table *Table) unloaded(now time.Duration, engine *engine, order Order, outcome Outcome) {
+func (table *Table) unloadDone(now time.Duration, engine *engine, order Order, outcome Outcome) {
 	engine.conflicts = 0
 	if outcome == Accepted {
 		if !order.Check {
@@ -275,10 +275,10 @@
 		engine.accepted++
 	}
 	delete(engine.copies, order.Weights)
-	engine.forget(order.Weights)
+	engine.retire(order.Weights)
 }
 
-func (table *Table) loaded(now time.Duration, engine *engine, order Order, outcome Outcome) {
+func (table *Table) loadDone(now time.Duration, engine *engine, order Order, outcome Outcome) {
 	engine.conflicts = 0
 	held := engine.copies[order.Weights]
 	if held == nil || held.phase == resident {
