Refuse heads and bodies over the operators' limits at once

Found by TestLimits: a body over the limit got its 413 only after the caller had sent the rest of it, since the server reads on before it answers; a caller that sent nothing got nothing. Refusals of a body now close the connection. A body that has not come when the route's time has ended gets 408, and a head over the operators' limit 431; both were accepted before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,10 @@
 		call.refuse(http.StatusServiceUnavailable, "no route table is in force")
 		return
 	}
+	if limit := index.Table().Limits.HeaderBytes; limit > 0 && headBytes(incoming) > limit {
+		call.refuse(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is over the limit")
+		return
+	}
 	call.route = index.Match(incoming.Host, incoming.URL.Path)
 	if call.route == nil {
 		call.refuse(http.StatusNotFound, "no route matches")
@@ -148,10 +153,14 @@
 	if call.incoming.Body == nil || call.incoming.ContentLength == 0 {
 		return true
 	}
+	// A body that is not there when the answer is due is of no use.
+	controller := http.NewResponseController(call.writer)
+	_ = controller.SetReadDeadline(call.start.Add(call.route.Timeout))
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	reader := io.Reader(call.incoming.Body)
 	if limits.BodyBytes > 0 {
 		if call.incoming.ContentLength > int64(limits.BodyBytes) {
-			call.refuse(http.StatusRequestEntityTooLarge, "the body is over the limit")
+			call.refuseBody(http.StatusRequestEntityTooLarge, "the body is over the limit")
 			return false
 		}
 		reader = http.MaxBytesReader(call.writer, call.incoming.Body, int64(limits.BodyBytes))
@@ -166,9 +175,18 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		call.refuse(http.StatusRequestEntityTooLarge, "the body is over the limit")
+		call.refuseBody(http.StatusRequestEntityTooLarge, "the body is over the limit")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		call.refuseBody(http.StatusRequestTimeout, "the body was not received in time")
 	case err != nil:
-		call.refuse(http.StatusBadRequest, "the body was not received whole")
+		call.refuseBody(http.StatusBadRequest, "the body was not received whole")
 	}
 	return err == nil
 }
+
+// refuseBody refuses a request whose body was not read. The connection is closed: the
+// server would otherwise wait for the rest of the body before it sends the answer.
+func (call *call) refuseBody(status int, reason string) {
+	call.writer.Header().Set("Connection", "close")
+	call.refuse(status, reason)
+}
