--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/go-faster/errors"
@@ -61,13 +60,13 @@
 		is := is.New(t)
 		controls := &controls{refuse: 7, number: 32}
 		table := NewTable("z")
+		inForce := make(chan struct{})
 		_, stop := Follow(Parts{
 			VM: "entry", Zone: "z", Seeds: []core.VMID{"c1", "c2", "c3"}, Table: table, Calls: controls,
-			Changed: func(core.RouteTable) {}, Logger: log.New(io.Discard),
+			Changed: func(core.RouteTable) { close(inForce) }, Logger: log.New(io.Discard),
 		})
 		defer stop()
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
+		<-inForce // synctest reports a deadlock if it never comes
 		is.Equal(table.Number(), core.ConfigNumber(32))
 		controls.lock.Lock()
 		defer controls.lock.Unlock()
--- a/internal/peer/batch_test.go
+++ b/internal/peer/batch_test.go
@@ -32,8 +32,7 @@
 		is.Equal(time.Since(began), time.Duration(0))
 		_, err = batch.Write([]byte("late"))
 		is.NoErr(err) // dropped: an error would let the multiplexer end from its writing side
-		time.Sleep(3 * closeTimeout)
-		synctest.Wait()
+		<-batch.done
 		_, err = near.Write([]byte("closed"))
 		is.True(err != nil)
 	})
