Wait for the forwarded call in TestOneWayCut

The test took the answer to a second call as proof that the call before it, started on another goroutine, had arrived. If that goroutine starts late, its call is sent after the cut, never arrives and is never cancelled.

Ruled out: a handler that is not cancelled by the server. The stack dump holds no handler and no link of the server, and with a pause of 50 ms before the forwarded call the test hangs every time.

Change: the test waits until the handler has the call.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -27,11 +27,14 @@
 // answer is a handler that answers attempt queries and holds forwarded calls until
 // their context ends.
 type answer struct {
+	// arrived is closed when a forwarded call has arrived, and cancelled when it ends.
+	arrived   chan struct{}
 	cancelled chan struct{}
 }
 
 func (answer answer) Handle(ctx context.Context, _ core.VMID, request *wire.Request, send func(*wire.Response) error) {
 	if request.GetForward() != nil {
+		close(answer.arrived)
 		<-ctx.Done()
 		close(answer.cancelled)
 		return
@@ -98,7 +101,7 @@
 // call up.
 func TestCancel(t *testing.T) {
 	is := is.New(t)
-	handler := answer{cancelled: make(chan struct{})}
+	handler := answer{arrived: make(chan struct{}), cancelled: make(chan struct{})}
 	client := serve(t, handler, "secret", "secret")
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -68,7 +68,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	handler := answer{cancelled: make(chan struct{})}
+	handler := answer{arrived: make(chan struct{}), cancelled: make(chan struct{})}
 	t.Cleanup(Serve(listener, identity("vm-1", "secret"), handler, quiet()))
 	valve := &valve{target: listener.Addr().String()}
 	client, closeClient := NewClient(identity("vm-2", "secret"), map[core.VMID]string{"vm-1": valve.listen(t)}, quiet())
@@ -81,9 +81,7 @@
 		_, err := client.Call(t.Context(), "vm-1", &wire.Request{Body: &wire.Request_Forward{Forward: &wire.Forward{}}})
 		forwarded <- err
 	}()
-	// The second answer shows that the forwarded call before it has arrived.
-	_, err = client.Call(t.Context(), "vm-1", query())
-	is.NoErr(err)
+	<-handler.arrived // a call that is sent after the cut never arrives, and is not cancelled
 	valve.hold.Store(true)
 	began := time.Now()
 
