Apply the operators' time limits to callers and stop without cutting a request

Cause: the head of a request had 5 s whatever the route table said.

Ruled out: the upstream (it had ended and did not run the request; the gateway would have tried another one), the end of the grace time (8 s), and a refusal that was not written (no line in the log; the caller counted as gone).

Change: callerConn wraps each accepted connection, shortens the server's deadlines to the limits in force, answers a late head with 408, and decides between a stop and the first byte of a request with one compare-and-swap. Answers whose head is written after the stop end their connection. The map of idle connections and its trimming are gone.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -48,10 +48,11 @@
 	killMargin = 500 * time.Millisecond
 	// trimInterval is the time between two looks at idle connections.
 	trimInterval = time.Second
-	// maxHeaderBytes and headerTimeout bound the head of a caller's request. They are
-	// wider than the operators' limits, which are not known before the first route table.
+	// maxHeaderBytes bounds the head of a caller's request. It is wider than the
+	// operators' limit, which is not known before the first route table.
 	maxHeaderBytes = 64 << 10
-	headerTimeout  = 5 * time.Second
+	// headerTimeout bounds the head of a call of the platform or an operator.
+	headerTimeout = 5 * time.Second
 )
 
 // entry is a running entry VM.
@@ -62,7 +63,7 @@
 	table    *fleet.Table
 	gateway  *gateway.Gateway
 	follower *fleet.Follower
-	idle     idleConns
+	callers  callers
 	stopping atomic.Bool
 }
 
@@ -90,7 +91,7 @@
 }
 
 func (entry *entry) setLimits(routes core.RouteTable) {
-	entry.idle.setLimit(routes.Limits.IdleTimeout)
+	entry.callers.setLimits(routes.Limits)
 }
 
 func (entry *entry) serve(stop, reload <-chan struct{}) error {
@@ -104,12 +105,12 @@
 		return err
 	}
 	server := &http.Server{
-		Handler: entry.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: entry.idle.follow, ErrorLog: entry.logs.Standard("callers"),
+		Handler: entry.callers.closing(entry.gateway), ReadHeaderTimeout: longestLimit, IdleTimeout: longestLimit, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: followPhase, ErrorLog: entry.logs.Standard("callers"),
 	}
 	probes := &http.Server{Handler: http.HandlerFunc(entry.answerReady), ReadHeaderTimeout: headerTimeout, ErrorLog: entry.logs.Standard("ready")}
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- server.Serve(callerListener{callers, &entry.callers}) }()
 	go func() { failed <- probes.Serve(ready) }()
 	defer probes.Close()
 	entry.logger.Info("Serving callers.", "vm", entry.settings.VM, "zone", entry.settings.Zone, "address", entry.settings.CallerAddress)
@@ -123,7 +124,6 @@
 			entry.reload()
 		case now := <-ticker.C:
 			entry.gateway.Trim(now)
-			entry.idle.trim(now)
 		case <-stop:
 			return entry.drain(server)
 		}
@@ -155,10 +155,11 @@
 	began := time.Now()
 	entry.stopping.Store(true)
 	entry.logger.Info("Stopping.", "grace", entry.settings.Grace)
-	server.SetKeepAlivesEnabled(false)
+	entry.callers.stop()
 	rotation := time.NewTimer(min(rotationTime, entry.settings.Grace/2))
 	defer rotation.Stop()
 	<-rotation.C
+	entry.callers.end()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(entry.settings.Grace-killMargin))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
