Keep audit records of the two roles

Cause: the users' auditor found nothing from dandelionring-node: its two roles wrote no records.

Ruled out: a synced start for every send, which costs a call and a sync for each request on disks that the replicated state shares; a list of members in the settings, which the platform does not give; a history of route tables beside the log.

The members of the auditor follow the control VMs. Committed route tables stand in the log, and verification compares each run with the table it began under. A folder whose disk refused writes is opened again; after a failed sync it stays closed. The log keeps to a share of the disk.

--- a/cmd/dandelionring/audit.go
+++ b/cmd/dandelionring/audit.go
@@ -195,13 +195,12 @@
 }
 
 func recordLine(record audit.Record) string {
-	what := "adapter " + core.AdapterVersion{Adapter: record.Adapter, Version: record.Version}.String()
-	if record.Service != "" {
-		what = "service " + string(record.Service)
+	line := fmt.Sprintf("%s %s %s/%d ", time.UnixMilli(record.At).UTC().Format("2006-01-02T15:04:05.000Z"), record.Event, record.VM, record.Sequence)
+	if record.Route != "" {
+		line += fmt.Sprintf("attempt %s route table %d route %s %s", record.Attempt, record.Config, record.Route, subject(record))
+	} else {
+		line += fmt.Sprintf("attempt %s customer %s plan %s configuration %d %s", record.Attempt, record.Customer, record.Plan, record.Config, subject(record))
 	}
-	line := fmt.Sprintf("%s %s %s/%d attempt %s customer %s plan %s configuration %d %s",
-		time.UnixMilli(record.At).UTC().Format("2006-01-02T15:04:05.000Z"), record.Event, record.VM, record.Sequence,
-		record.Attempt, record.Customer, record.Plan, record.Config, what)
 	if record.Event != audit.EventStart {
 		line += fmt.Sprintf(" upstream %s outcome %s whole %t code %q tokens %d after %s",
 			record.Upstream, record.Outcome, record.Whole, record.Code, record.Tokens, time.Duration(record.TotalMicros)*time.Microsecond)
@@ -209,6 +208,19 @@
 	return line
 }
 
+// subject names what was run.
+func subject(record audit.Record) string {
+	adapter := "adapter " + core.AdapterVersion{Adapter: record.Adapter, Version: record.Version}.String()
+	switch {
+	case record.Service == "":
+		return adapter
+	case record.Adapter == "":
+		return "service " + string(record.Service)
+	default:
+		return "service " + string(record.Service) + " " + adapter
+	}
+}
+
 func (command *auditCommand) runExport() error {
 	encoder := json.NewEncoder(os.Stdout)
 	for record, err := range audit.Distinct(command.folders) {
--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,13 +66,17 @@
 	// Queue bounds the records that are on no disk, and Copies those on one.
 	Queue  int
 	Copies int
+	// Gather is the pause after a batch while no start waits. By default there is none
+	// for a VM that is not busy.
+	Gather time.Duration
+	// CopyDelay is the pause after a batch of second copies; 20 ms by default.
+	CopyDelay time.Duration
 }
 
 // Auditor takes the records of one VM to disks. Use New; the zero value is not
 // usable.
 type Auditor struct {
 	options Options
-	targets targets
 	ctx     context.Context
 	cancel  context.CancelFunc
 	// senders are the goroutines that end by themselves after all is sent; running
@@ -81,11 +86,14 @@
 	// wakeShip and wakeCopy hold one token if there is work.
 	wakeShip chan struct{}
 	wakeCopy chan struct{}
+	// urgent holds one token if a start waits.
+	urgent chan struct{}
 	// wakeProbe holds one token if a VM failed.
 	wakeProbe chan struct{}
 
 	// mutex is number 4 in the lock order of a VM. It guards everything below.
 	mutex    sync.Mutex
+	targets  targets
 	closed   bool
 	sequence uint64
 	// open is the number of starts whose end is not in the queue yet. Each of them
@@ -123,6 +131,9 @@
 	if options.Copies <= 0 {
 		options.Copies = defaultCopies
 	}
+	if options.CopyDelay <= 0 {
+		options.CopyDelay = copyDelay
+	}
 	if options.Logger == nil {
 		options.Logger = log.Default()
 	}
@@ -131,7 +142,7 @@
 		options: options, targets: newTargets(options.Self, options.Members),
 		ctx: ctx, cancel: cancel, failed: make(map[core.VMID]bool),
 		wakeShip: make(chan struct{}, 1), wakeCopy: make(chan struct{}, 1),
-		wakeProbe: make(chan struct{}, 1),
+		wakeProbe: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 	}
 	auditor.senders.Go(auditor.ship)
 	auditor.senders.Go(auditor.sendCopies)
@@ -158,6 +169,42 @@
 	}
 }
 
+// SetMembers replaces the VMs of the deployment, where they change while the VM runs.
+func (auditor *Auditor) SetMembers(members []Member) {
+	auditor.mutex.Lock()
+	auditor.targets = newTargets(auditor.options.Self, members)
+	for vm := range auditor.failed {
+		if !slices.ContainsFunc(members, func(member Member) bool { return member.VM == vm }) {
+			delete(auditor.failed, vm)
+		}
+	}
+	auditor.mutex.Unlock()
+	wake(auditor.wakeShip)
+	wake(auditor.wakeCopy)
+}
+
+// Begin numbers a record like Start, but waits for limit at most; zero does not wait at
+// all. A record that is on no disk by then follows later, and is lost if this VM is lost
+// before. An error means that the run must not begin.
+func (auditor *Auditor) Begin(ctx context.Context, record audit.Record, limit time.Duration) error {
+	if limit <= 0 {
+		return auditor.enqueueStart(record, nil)
+	}
+	accepted := make(chan struct{})
+	if err := auditor.enqueueStart(record, accepted); err != nil {
+		return err
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-accepted:
+	case <-timer.C:
+		late.Inc()
+	case <-ctx.Done():
+	}
+	return nil
+}
+
 func (auditor *Auditor) enqueueStart(record audit.Record, accepted chan struct{}) error {
 	auditor.mutex.Lock()
 	defer auditor.mutex.Unlock()
@@ -194,6 +241,18 @@
 	auditor.enqueue(record, nil)
 }
 
+// Note numbers a record that belongs to no run and sends it without waiting. It is dropped
+// if the queue is full.
+func (auditor *Auditor) Note(record audit.Record) {
+	auditor.mutex.Lock()
+	defer auditor.mutex.Unlock()
+	if auditor.closed || len(auditor.queue)+auditor.open >= auditor.options.Queue {
+		refused.Inc()
+		return
+	}
+	auditor.enqueue(record, nil)
+}
+
 // enqueue gives the record its number. The caller holds the lock.
 func (auditor *Auditor) enqueue(record audit.Record, accepted chan struct{}) {
 	auditor.sequence++
@@ -201,6 +260,9 @@
 	auditor.queue = append(auditor.queue, &item{record: record, accepted: accepted})
 	queued.Set(float64(len(auditor.queue)))
 	wake(auditor.wakeShip)
+	if accepted != nil {
+		wake(auditor.urgent)
+	}
 }
 
 // wake leaves a token for a goroutine that waits for work.
@@ -236,6 +298,7 @@
 	auditor.mutex.Unlock()
 	wake(auditor.wakeShip)
 	wake(auditor.wakeCopy)
+	wake(auditor.urgent)
 	stopped := make(chan struct{})
 	go func() {
 		auditor.senders.Wait()
@@ -259,6 +322,7 @@
 	delivered = metrics.GetOrCreateCounter("dandelionring_audit_records_total")
 	copied    = metrics.GetOrCreateCounter("dandelionring_audit_copies_total")
 	buffered  = metrics.GetOrCreateCounter("dandelionring_audit_buffered_total")
+	late      = metrics.GetOrCreateCounter("dandelionring_audit_late_starts_total")
 	refused   = metrics.GetOrCreateCounter("dandelionring_audit_refused_total")
 	queued    = metrics.GetOrCreateGauge("dandelionring_audit_queue_length", nil)
 	waiting   = metrics.GetOrCreateGauge("dandelionring_audit_copies_waiting", nil)
--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -26,6 +26,7 @@
 // deployment connects auditors in memory.
 type deployment struct {
 	queue   int
+	gather  time.Duration
 	members []Member
 	vms     map[core.VMID]*Auditor
 	disks   map[core.VMID]*disk
@@ -94,6 +95,7 @@
 	for _, member := range deployment.members {
 		options := Options{
 			Self: member, Incarnation: "i", Members: deployment.members, Queue: deployment.queue,
+			Gather: deployment.gather, CopyDelay: deployment.gather,
 			Caller: link{deployment, member.VM}, Logger: log.New(io.Discard),
 		}
 		if member.Disk {
@@ -117,6 +119,20 @@
 	return fmt.Sprintf("%s: accepted after %v\n", request, time.Since(began))
 }
 
+// begin starts a run that waits for limit at most.
+func (deployment *deployment) begin(vm core.VMID, request, limit string) string {
+	span, err := time.ParseDuration(limit)
+	if err != nil {
+		return err.Error()
+	}
+	began := time.Now()
+	err = deployment.vms[vm].Begin(context.Background(), audit.Record{Event: audit.EventStart, Request: core.RequestID(request)}, span)
+	if err != nil {
+		return fmt.Sprintf("%s: %v after %v\n", request, err, time.Since(began))
+	}
+	return fmt.Sprintf("%s: begun after %v\n", request, time.Since(began))
+}
+
 // show lists what the disks hold.
 func (deployment *deployment) show(t *testing.T) string {
 	var text strings.Builder
@@ -172,8 +188,22 @@
 		var err error
 		deployment.queue, err = strconv.Atoi(words[1])
 		is.NoErr(err)
+	case "gather":
+		var err error
+		deployment.gather, err = time.ParseDuration(words[1])
+		is.NoErr(err)
 	case "open":
 		deployment.open()
+	case "begin":
+		return deployment.begin(vm, words[2], words[3])
+	case "members":
+		var members []Member
+		for _, member := range deployment.members {
+			if slices.Contains(words[2:], string(member.VM)) {
+				members = append(members, member)
+			}
+		}
+		deployment.vms[vm].SetMembers(members)
 	case "start":
 		return deployment.start(vm, words[2])
 	case "end":
--- a/internal/auditor/copies.go
+++ b/internal/auditor/copies.go
@@ -15,7 +15,7 @@
 			}
 			continue
 		}
-		_, ok := auditor.deliver(batch, auditor.targets.seconds(batch[0].holder), true)
+		_, ok := auditor.deliver(batch, auditor.places().seconds(batch[0].holder), true)
 		if ok {
 			copied.Add(len(batch))
 			auditor.removeCopies(batch)
@@ -36,7 +36,7 @@
 	auditor.mutex.Lock()
 	closed := auditor.closed
 	auditor.mutex.Unlock()
-	return closed || auditor.await(nil, copyDelay)
+	return closed || auditor.await(nil, auditor.options.CopyDelay)
 }
 
 // addCopies queues a batch for its second copy. If too many wait, the oldest are
--- a/internal/auditor/ship.go
+++ b/internal/auditor/ship.go
@@ -25,10 +25,10 @@
 			}
 			continue
 		}
-		holder, ok := auditor.deliver(batch, auditor.targets.disks, false)
+		holder, ok := auditor.deliver(batch, auditor.places().disks, false)
 		if ok {
 			auditor.delivered(batch, holder)
-			if len(batch) >= gatherFrom && !auditor.await(nil, gatherDelay) {
+			if !auditor.pace(len(batch)) {
 				return
 			}
 			continue
@@ -40,6 +40,30 @@
 	}
 }
 
+// pace waits for more records after a batch. It returns false if the auditor was stopped.
+func (auditor *Auditor) pace(sent int) bool {
+	auditor.mutex.Lock()
+	closed := auditor.closed
+	auditor.mutex.Unlock()
+	switch {
+	case closed:
+		return true
+	case auditor.options.Gather > 0:
+		return auditor.await(auditor.urgent, auditor.options.Gather)
+	case sent >= gatherFrom:
+		return auditor.await(nil, gatherDelay)
+	default:
+		return true
+	}
+}
+
+// places returns the VMs that records may go to now.
+func (auditor *Auditor) places() targets {
+	auditor.mutex.Lock()
+	defer auditor.mutex.Unlock()
+	return auditor.targets
+}
+
 // await waits for a token, or for a time if it is not zero. It returns false if the
 // auditor was stopped.
 func (auditor *Auditor) await(channel chan struct{}, limit time.Duration) bool {
@@ -233,7 +257,7 @@
 		item.payload = encode(item.record)
 	}
 	batch = auditor.encode(batch)
-	for _, member := range auditor.usable(auditor.targets.buddies) {
+	for _, member := range auditor.usable(auditor.places().buddies) {
 		_, err := auditor.ask(member.VM, batch, false)
 		if err == nil {
 			break
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -7,10 +7,12 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dandelionring/dandelionring/internal/auditor"
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/pool"
 	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
@@ -30,6 +32,16 @@
 	Report(ctx context.Context, order residency.Order) (residency.State, error)
 }
 
+// records keeps audit records.
+type records interface {
+	// Receive takes a batch of another VM to the disk.
+	Receive(ctx context.Context, batch *wire.Audit) *wire.AuditResult
+	// Note takes a record of this VM.
+	Note(record audit.Record)
+	// SetMembers names the VMs with a disk.
+	SetMembers(members []auditor.Member)
+}
+
 // Parts are what a control VM works with.
 type Parts struct {
 	VM   core.VMID
@@ -48,7 +60,9 @@
 	Calls      caller
 	Engines    engines
 	Jobs       *pool.Pool
-	Logger     *log.Logger
+	// Records may be nil: no records are kept or taken then.
+	Records records
+	Logger  *log.Logger
 }
 
 // Control is a running control VM.
@@ -71,6 +85,8 @@
 	spec      map[core.ServiceID]core.EngineSpec
 	revisions uint64
 	recall    recall
+	// recorded is the number of the last route table that this VM has recorded.
+	recorded core.ConfigNumber
 	// applied is the index of the last command whose effect was taken in, and started is
 	// set after that was done once.
 	applied uint64
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -22,7 +22,9 @@
 	followed := map[core.VMID]bool{control.parts.VM: true}
 	ticker := time.NewTicker(followPause)
 	defer ticker.Stop()
+	var recorders []Peer
 	for {
+		recorders = control.setRecordMembers(recorders)
 		for _, vm := range control.peers.withSeeds() {
 			if !followed[vm] {
 				followed[vm] = true
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -40,6 +40,11 @@
 		return &wire.Response{Body: &wire.Response_PlaceResult{PlaceResult: control.place(ctx, body.Place)}}, nil
 	case *wire.Request_Usage:
 		return &wire.Response{Body: &wire.Response_UsageResult{UsageResult: control.use(body.Usage)}}, nil
+	case *wire.Request_Audit:
+		if control.parts.Records != nil {
+			result := control.parts.Records.Receive(ctx, body.Audit)
+			return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
+		}
 	}
 	if response, ok := control.parts.Host.Handle(ctx, request); ok {
 		return response, nil
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -42,6 +42,9 @@
 	}
 	control.parts.Logger.Info("A route table was answered.", "number", put.Table.Number, "changed", result.PutRoutes.Changed,
 		"in_force", result.PutRoutes.Number, "conflict", result.PutRoutes.Conflict)
+	if result.PutRoutes.Changed {
+		control.recordRoutes(put.Table)
+	}
 	return *result.PutRoutes, nil, nil
 }
 
@@ -167,6 +170,7 @@
 	})
 	now := clock.Now()
 	control.setSpecs(now, routes)
+	control.recordApplied(routes, replica.Leader())
 	for _, owner := range owners {
 		control.setOwner(now, owner)
 	}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -42,7 +42,15 @@
 	Calls caller
 	// Changed is called after a new route table is in force.
 	Changed func(core.RouteTable)
-	Logger  *log.Logger
+	// Controls is called with the control VMs whenever they have changed.
+	Controls func([]ControlVM)
+	Logger   *log.Logger
+}
+
+// ControlVM is a control VM and its zone.
+type ControlVM struct {
+	VM   core.VMID
+	Zone core.ZoneID
 }
 
 // Follower keeps the table of an entry VM up to date.
@@ -56,6 +64,7 @@
 	// lock is table 2 of the lock order.
 	lock     sync.Mutex
 	followed map[core.VMID]bool
+	controls []ControlVM
 	// wanted is the largest number that a control VM has named, and source the VM that
 	// named one last.
 	wanted core.ConfigNumber
@@ -144,8 +153,8 @@
 	for _, message := range event.GetResidency() {
 		table.SetResidency(peer.Residency(message))
 	}
-	for _, control := range event.GetControlVms() {
-		follower.add(core.VMID(control.GetVm()))
+	if controls := event.GetControlVms(); len(controls) > 0 {
+		follower.setControls(controls)
 	}
 	if event.GetEntryVms() > 0 {
 		table.SetEntryVMs(int(event.GetEntryVms()))
@@ -155,6 +164,23 @@
 	}
 }
 
+// setControls follows the control VMs that one of them has named.
+func (follower *Follower) setControls(messages []*wire.ControlVm) {
+	controls := make([]ControlVM, 0, len(messages))
+	for _, message := range messages {
+		control := ControlVM{VM: core.VMID(message.GetVm()), Zone: core.ZoneID(message.GetZone())}
+		follower.add(control.VM)
+		controls = append(controls, control)
+	}
+	follower.lock.Lock()
+	same := slices.Equal(controls, follower.controls)
+	follower.controls = controls
+	follower.lock.Unlock()
+	if !same && follower.parts.Controls != nil {
+		follower.parts.Controls(controls)
+	}
+}
+
 // fetch brings the route table up to a number that a control VM has named, and tries again
 // until it has. Before the first table, a majority must have confirmed it: a control VM
 // that is cut off may hold an old one, and this VM may have served a newer one in its last
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -19,6 +19,8 @@
 	incoming *http.Request
 	request  Request
 	route    *core.Route
+	// number is that of the route table that route stands in.
+	number   core.ConfigNumber
 	service  core.ServiceID
 	maxConns int
 	body     []byte
@@ -31,6 +33,10 @@
 	committed bool
 	// lastEvent is the last event that the caller was sent, or had before.
 	lastEvent string
+	// ended is set to Ran once the last send has ended with a whole answer, and sent is
+	// the time at which that send began.
+	ended core.Outcome
+	sent  time.Time
 	// failure is the answer of an upstream that is passed on if no other one is had.
 	failure *answer
 }
@@ -81,7 +87,15 @@
 			reason = "the budget of repeated sends is used up"
 			break
 		}
+		call.tried = append(call.tried, pick.Upstream)
+		if err := call.begin(ctx, pick); err != nil {
+			call.gateway.parts.Table.Finish(pick)
+			reason = err.Error()
+			break
+		}
+		runs := call.history.Runs
 		outcome := call.send(ctx, pick)
+		call.end(pick, runs)
 		call.gateway.parts.Table.Finish(pick)
 		if outcome == finished {
 			requestCounts.Inc(call.kind().String(), "answered")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,9 @@
 	Dialect Dialect
 	// Repeats bounds the sends beyond the first of each request.
 	Repeats retry.Limits
-	Logger  *log.Logger
+	// Recorder may be nil: no records are kept then.
+	Recorder recorder
+	Logger   *log.Logger
 }
 
 // Gateway answers callers. Use New.
@@ -74,6 +76,7 @@
 		call.refuse(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is over the limit")
 		return
 	}
+	call.number = index.Table().Number
 	call.route = index.Match(incoming.Host, incoming.URL.Path)
 	if call.route == nil {
 		call.refuse(http.StatusNotFound, "no route matches")
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -15,9 +16,11 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/datadriven"
+	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -111,6 +114,29 @@
 	}
 }
 
+// recordLog is a recorder in memory. It refuses starts while full is set.
+type recordLog struct {
+	lock  sync.Mutex // a leaf
+	full  bool
+	lines []string
+}
+
+func (log *recordLog) Begin(_ context.Context, record audit.Record, limit time.Duration) error {
+	log.lock.Lock()
+	defer log.lock.Unlock()
+	if log.full {
+		return errors.New("too many audit records wait for a disk")
+	}
+	log.lines = append(log.lines, fmt.Sprintf("record: %s %s routes=%d %s/%s %s wait=%v", record.Event, record.Attempt, record.Config, record.Route, record.Service, record.Upstream, limit))
+	return nil
+}
+
+func (log *recordLog) End(record audit.Record) {
+	log.lock.Lock()
+	defer log.lock.Unlock()
+	log.lines = append(log.lines, fmt.Sprintf("record: %s %s %s whole=%t", record.Event, record.Attempt, record.Outcome, record.Whole))
+}
+
 // start runs count upstreams of the service and returns the table that knows them.
 func (upstreams *upstreams) start(t *testing.T, count int) *fleet.Table {
 	table := fleet.NewTable("z")
@@ -156,12 +182,17 @@
 		}
 	}
 	count, kind, attempts := 3, "idempotent", 2
+	records := &recordLog{}
+	parts := Parts{Dialect: plainDialect{}, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
 	for _, arg := range data.CmdArgs {
 		switch arg.Key {
 		case "upstreams":
 			count, _ = strconv.Atoi(arg.Vals[0])
 		case "kind":
 			kind = arg.Vals[0]
+		case "records":
+			parts.Recorder = records
+			records.full = len(arg.Vals) > 0 && arg.Vals[0] == "full"
 		case "attempts":
 			attempts, _ = strconv.Atoi(arg.Vals[0])
 		}
@@ -172,13 +203,19 @@
 		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kinds[kind], Resumable: kind == "resumable", Timeout: 2 * pauseTime, MaxAttempts: attempts,
 		Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
 	}}, Services: []core.ServiceSpec{{Service: "s"}}})
-	gateway, closeGateway := New(Parts{
-		Table: table, Dialect: plainDialect{}, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard),
-	})
+	parts.Table = table
+	gateway, closeGateway := New(parts)
 	defer closeGateway()
 	server := httptest.NewServer(gateway)
 	defer server.Close()
-	return ask(server, upstreams)
+	text := ask(server, upstreams)
+	server.Close() // the end of a send is recorded after its answer
+	records.lock.Lock()
+	defer records.lock.Unlock()
+	for _, line := range records.lines {
+		text += line + "\n"
+	}
+	return text
 }
 
 func ask(server *httptest.Server, upstreams *upstreams) string {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -44,7 +44,6 @@
 // send sends the request to one upstream and passes its answer on.
 func (call *call) send(ctx context.Context, pick fleet.Pick) next {
 	attempt := &attempt{call: call, pick: pick, key: h1.Key{Upstream: pick.Upstream, Born: pick.Born, Address: pick.Address}}
-	call.tried = append(call.tried, pick.Upstream)
 	limit := 0
 	if call.maxConns > 0 {
 		limit = max(1, call.maxConns/call.gateway.parts.Table.EntryVMs())
@@ -180,6 +179,7 @@
 		return attempt.lost(ctx, "broken answer", err)
 	}
 	call.gateway.conns.Put(attempt.key, attempt.conn)
+	call.ended = core.Ran
 	answer := &answer{status: response.StatusCode, header: response.Header, body: body}
 	if promises(response.StatusCode) {
 		// The upstream did not say that it has not run the request, so this status would
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
 const (
@@ -61,6 +62,7 @@
 func (attempt *attempt) endStream(response *http.Response) next {
 	call := attempt.call
 	attempt.observe(fleet.Answered)
+	call.ended = core.Ran
 	call.gateway.conns.Put(attempt.key, attempt.conn)
 	if !call.committed { // a stream without events
 		copyHeader(call.writer.Header(), response.Header)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -36,6 +36,8 @@
 	FirstStart bool
 	DataFolder string
 	Secret     string
+	// AuditBytes bounds the audit log on this VM's disk.
+	AuditBytes core.Bytes
 	// Voters is the number of replicas that vote.
 	Voters int
 	// Zones is the number of availability zones of the deployment.
@@ -78,6 +80,8 @@
 		return errors.Wrap(err, "open replicated state")
 	}
 	logger := logs.Part("control")
+	records, closeRecords := openRecords(settings, identity, calls, logs.Part("audit"))
+	defer closeRecords()
 	defer func() {
 		if err := closeReplicas(); err != nil {
 			logger.Warn("The replicated state was not closed.", "error", err)
@@ -89,7 +93,7 @@
 	node := control.New(control.Parts{
 		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Zones: settings.Zones,
 		EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
-		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, caller), Calls: calls, Engines: engines, Jobs: jobs, Logger: logger,
+		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, caller), Calls: calls, Engines: engines, Jobs: jobs, Records: records, Logger: logger,
 	}, peers)
 	peers.AddSeeds(settings.Seeds)
 	return serveControl(settings, node, peers, identity, handler(node), logs, stop, reload)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,14 +76,17 @@
 	identity := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.Secret)}
 	calls, closeCalls := peer.NewClient(identity, nil, logs.Part("peer"))
 	defer closeCalls()
+	records, closeRecords := entryRecords(settings, identity, calls, logs.Part("audit"))
+	defer closeRecords()
 	follower, closeFollower := fleet.Follow(fleet.Parts{
 		VM: settings.VM, Zone: settings.Zone, Seeds: settings.Seeds, Table: entry.table, Calls: calls,
-		Changed: entry.setLimits, Logger: logs.Part("fleet"),
+		Changed: entry.setLimits, Controls: func(controls []fleet.ControlVM) { records.SetMembers(recordMembers(controls)) }, Logger: logs.Part("fleet"),
 	})
 	defer closeFollower()
 	entry.follower = follower
 	gateway, closeGateway := gateway.New(gateway.Parts{
-		Table: entry.table, Placer: follower, Dialect: dialect, Repeats: settings.Repeats, Logger: logs.Part("gateway"),
+		Table: entry.table, Placer: follower, Dialect: dialect, Repeats: settings.Repeats,
+		Recorder: records, Logger: logs.Part("gateway"),
 	})
 	defer closeGateway()
 	entry.gateway = gateway
--- a/pkg/audit/chain.go
+++ b/pkg/audit/chain.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
 // chainLog is the open end of a chain. Only the writer's goroutine uses it.
@@ -182,7 +184,7 @@
 		return errors.Wrap(err, "write audit block")
 	}
 	if err := log.file.Sync(); err != nil {
-		return errors.Wrap(err, "sync audit block")
+		return errors.Wrap(errors.Join(ErrSync, err), "sync audit block")
 	}
 	log.size, log.count, log.hash = log.size+int64(len(log.buffer)), count, hash
 	return nil
@@ -218,18 +220,24 @@
 	return err
 }
 
-// retain removes files whose last record is older than the retention. A file that
-// cannot be removed is tried again at the next rotation.
+// retain removes the oldest files while their last record is past the retention or all
+// files take too much room. A file that cannot be removed is tried again at the next
+// rotation.
 func (log *chainLog) retain() {
 	files, err := Files(log.folder)
-	if log.options.Retention <= 0 || err != nil {
+	if log.options.Retention <= 0 && log.options.MaxBytes <= 0 || err != nil {
 		return
 	}
-	for i := 0; i+1 < len(files); i++ {
-		info, err := os.Stat(files[i])
-		if err != nil || log.options.Now().Sub(info.ModTime()) < log.options.Retention {
+	infos := make([]os.FileInfo, len(files))
+	var total core.Bytes
+	for i, path := range files {
+		if infos[i], err = os.Stat(path); err != nil {
 			return
 		}
+		total += core.Bytes(infos[i].Size())
+	}
+	for i := 0; i+1 < len(files) && log.past(infos[i], total); i++ {
+		total -= core.Bytes(infos[i].Size())
 		log.first = firstOf(files[i+1], log.first)
 		// The head is synced first, so that a crash cannot make the removal look like a loss.
 		if log.syncHead() != nil || os.Remove(filepath.Clean(files[i])) != nil {
@@ -238,6 +246,14 @@
 	}
 }
 
+// past reports whether the oldest file may go, while all files take total bytes.
+func (log *chainLog) past(file os.FileInfo, total core.Bytes) bool {
+	if log.options.MaxBytes > 0 && total > log.options.MaxBytes {
+		return true
+	}
+	return log.options.Retention > 0 && log.options.Now().Sub(file.ModTime()) >= log.options.Retention
+}
+
 func (log *chainLog) close() {
 	log.writeHead()
 	log.file.Close()
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -13,8 +13,26 @@
 	EventEnd Event = "end"
 	// EventRefused states a refusal before any attempt.
 	EventRefused Event = "refused"
+	// EventRoutes states a route table that was committed.
+	EventRoutes Event = "routes"
 )
 
+// RouteTargets holds the services that each route of a table allows.
+type RouteTargets map[core.RouteName][]core.ServiceID
+
+// TargetsOf returns the services that the routes of a table allow.
+func TargetsOf(table core.RouteTable) RouteTargets {
+	targets := make(RouteTargets, len(table.Routes))
+	for _, route := range table.Routes {
+		for _, target := range route.Targets {
+			if target.Weight > 0 {
+				targets[route.Name] = append(targets[route.Name], target.Service)
+			}
+		}
+	}
+	return targets
+}
+
 // Record is one entry of the audit log.
 type Record struct {
 	// VM, Incarnation and Sequence name the record: the sequence starts at 1 and
@@ -31,16 +49,20 @@
 	Plan       core.PlanID
 	Config     core.ConfigNumber
 	ConfigHash string
-	Adapter    core.AdapterID   `json:",omitempty"`
-	Version    core.Version     `json:",omitempty"`
-	Service    core.ServiceID   `json:",omitempty"`
-	Call       string           `json:",omitempty"`
-	Upstream   core.UpstreamID  `json:",omitempty"`
-	Zone       core.ZoneID      `json:",omitempty"`
-	Outcome    string           `json:",omitempty"`
-	Code       core.RefusalCode `json:",omitempty"`
-	Whole      bool             `json:",omitempty"`
-	Tokens     core.Tokens      `json:",omitempty"`
+	Adapter    core.AdapterID `json:",omitempty"`
+	Version    core.Version   `json:",omitempty"`
+	Service    core.ServiceID `json:",omitempty"`
+	Call       string         `json:",omitempty"`
+	// Route is set for a run that a route table allowed, and not the lists of plans.
+	Route core.RouteName `json:",omitempty"`
+	// Targets holds the services that each route of a committed table allowed.
+	Targets  RouteTargets     `json:",omitempty"`
+	Upstream core.UpstreamID  `json:",omitempty"`
+	Zone     core.ZoneID      `json:",omitempty"`
+	Outcome  string           `json:",omitempty"`
+	Code     core.RefusalCode `json:",omitempty"`
+	Whole    bool             `json:",omitempty"`
+	Tokens   core.Tokens      `json:",omitempty"`
 	// FirstByteMicros and StallMicros are durations of the attempt.
 	FirstByteMicros int64 `json:",omitempty"`
 	StallMicros     int64 `json:",omitempty"`
--- a/pkg/audit/verify_test.go
+++ b/pkg/audit/verify_test.go
@@ -54,6 +54,19 @@
 			record.Config = core.ConfigNumber(number)
 		case "hash":
 			record.ConfigHash = value
+		case "route":
+			record.Route, record.Adapter, record.Version = core.RouteName(value), "", ""
+		case "service":
+			record.Service = core.ServiceID(value)
+		case "routes":
+			// A committed table, written like routes=r1:s1+s2,r2:s3.
+			record.Event, record.Targets = EventRoutes, make(RouteTargets)
+			for route := range strings.SplitSeq(value, ",") {
+				name, services, _ := strings.Cut(route, ":")
+				for service := range strings.SplitSeq(services, "+") {
+					record.Targets[core.RouteName(name)] = append(record.Targets[core.RouteName(name)], core.ServiceID(service))
+				}
+			}
 		default:
 			t.Fatalf("unknown change %q", change)
 		}
--- /dev/null
+++ b/pkg/audit/verifyroutes.go
@@ -0,0 +1,70 @@
+package audit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
+
+// routeUse is what a run needs of a route table.
+type routeUse struct {
+	number  core.ConfigNumber
+	route   core.RouteName
+	service core.ServiceID
+}
+
+// routeCheck compares runs with the route tables that the log itself states. A table may
+// stand behind the runs that used it, so runs are judged at the end.
+type routeCheck struct {
+	tables map[core.ConfigNumber]RouteTargets
+	// uses holds the first run of each use, and counts the number of its runs.
+	uses   map[routeUse]Entry
+	counts map[routeUse]int
+}
+
+func newRouteCheck() routeCheck {
+	return routeCheck{
+		tables: make(map[core.ConfigNumber]RouteTargets), uses: make(map[routeUse]Entry), counts: make(map[routeUse]int),
+	}
+}
+
+// table takes in a committed table. It returns false if the log states another content
+// under the same number.
+func (check *routeCheck) table(record Record) bool {
+	known, ok := check.tables[record.Config]
+	if !ok {
+		check.tables[record.Config] = record.Targets
+		return true
+	}
+	return maps.EqualFunc(known, record.Targets, slices.Equal)
+}
+
+func (check *routeCheck) run(entry Entry) {
+	use := routeUse{entry.Record.Config, entry.Record.Route, entry.Record.Service}
+	if _, ok := check.uses[use]; !ok {
+		check.uses[use] = entry
+	}
+	check.counts[use]++
+}
+
+// judge hands each use that no table allows to report. A table that is not in the log is
+// no proof of a fault: its record may have been lost with the VM that wrote it.
+func (check *routeCheck) judge(report func(Kind, Entry, string)) (joined int) {
+	uses := slices.SortedFunc(maps.Keys(check.uses), func(a, b routeUse) int {
+		return cmp.Or(cmp.Compare(a.number, b.number), cmp.Compare(a.route, b.route), cmp.Compare(a.service, b.service))
+	})
+	for _, use := range uses {
+		table, ok := check.tables[use.number]
+		if !ok {
+			report(KindNoConfig, check.uses[use], "the route table is not in the log")
+			continue
+		}
+		joined += check.counts[use]
+		if !slices.Contains(table[use.route], use.service) {
+			report(KindNotAllowed, check.uses[use], "route "+string(use.route)+" does not lead to service "+string(use.service))
+		}
+	}
+	return joined
+}
--- a/pkg/audit/verifyruns.go
+++ b/pkg/audit/verifyruns.go
@@ -35,12 +35,13 @@
 	sources map[source]map[uint64]*copyState
 	starts  map[core.AttemptID]run
 	ends    map[core.AttemptID]run
+	routes  routeCheck
 }
 
 func newRunCheck(report *Report, history History) *runCheck {
 	check := &runCheck{
 		report: report, sources: make(map[source]map[uint64]*copyState),
-		starts: make(map[core.AttemptID]run), ends: make(map[core.AttemptID]run),
+		starts: make(map[core.AttemptID]run), ends: make(map[core.AttemptID]run), routes: newRouteCheck(),
 	}
 	if history != nil {
 		check.judge = &judge{history, make(map[permission]verdict)}
@@ -116,11 +117,19 @@
 		check.ends[record.Attempt] = state
 	case EventRefused:
 		check.report.Refused++
+	case EventRoutes:
+		if !check.routes.table(record) {
+			check.fault(found(KindDiffers, entry, "another record states route table %d with other routes", record.Config))
+		}
 	}
 }
 
 // allowed joins a run to its configuration.
 func (check *runCheck) allowed(entry Entry) {
+	if entry.Record.Route != "" {
+		check.routes.run(entry)
+		return
+	}
 	if check.judge == nil {
 		return
 	}
@@ -151,6 +160,14 @@
 // end reports what needs all records. Gaps and missing starts are looked for only
 // if the folders are all that there are and nothing was removed from them.
 func (check *runCheck) end(partial, retained bool) {
+	check.report.Joined += check.routes.judge(func(kind Kind, entry Entry, detail string) {
+		finding := found(kind, entry, "route table %d: %s", entry.Record.Config, detail)
+		if kind == KindNoConfig {
+			check.notice(finding)
+			return
+		}
+		check.fault(finding)
+	})
 	for _, start := range sortedRuns(check.starts) {
 		check.notice(found(KindNoEnd, start.place, "the attempt has no end"))
 	}
--- a/pkg/audit/writer.go
+++ b/pkg/audit/writer.go
@@ -30,6 +30,10 @@
 // ErrClosed is returned for records after the writer was closed.
 var ErrClosed = errors.New("the audit writer is closed")
 
+// ErrSync is returned for records after a sync failed. What is read back from the file
+// afterwards may not be on the disk.
+var ErrSync = errors.New("a sync of the audit log failed")
+
 // Options configure a writer. Zero values mean the defaults.
 type Options struct {
 	VM core.VMID
@@ -37,6 +41,9 @@
 	RotateBytes core.Bytes
 	// Retention is the age at which files are removed; zero keeps them for ever.
 	Retention time.Duration
+	// MaxBytes is the size of all files above which the oldest are removed; zero keeps
+	// them for ever. The newest file always stays.
+	MaxBytes core.Bytes
 	// Pending bounds the calls of Append that wait for a commit.
 	Pending int
 	// Now is the clock; time.Now by default.
--- a/pkg/audit/writer_test.go
+++ b/pkg/audit/writer_test.go
@@ -181,6 +181,31 @@
 	is.True(report.Sound())
 }
 
+// TestRetentionBySize guards against files that fill the disk.
+func TestRetentionBySize(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	writer, closeWriter, err := Open(folder, Options{VM: "vm-1", RotateBytes: 1 << 10, MaxBytes: 4 << 10})
+	is.NoErr(err)
+	for n := range 100 {
+		is.NoErr(writer.Append(context.Background(), mustEncode(t, testRecord(1+2*n))))
+	}
+	closeWriter()
+	files, err := Files(folder)
+	is.NoErr(err)
+	total := int64(0)
+	for _, path := range files {
+		info, err := os.Stat(path)
+		is.NoErr(err)
+		total += info.Size()
+	}
+	is.True(total <= 6<<10) // MaxBytes, and the file that was begun since
+	is.True(total >= 3<<10)
+	report, err := Verify([]string{folder}, Scope{Partial: true})
+	is.NoErr(err)
+	is.True(report.Sound())
+}
+
 // TestMissingFile guards against the removal of an old or a middle file that
 // passes as retention.
 func TestMissingFile(t *testing.T) {
