Free the places of adapters sooner

The places were full of adapters that had been used once: reports of use came every 500 ms and a copy was settled 500 ms after its last use, so it stayed for 2 s. Where engines leave orders unanswered, each one blocked its engine for 1.9 s, and every request for an adapter that was not in memory was refused.

Change: entry VMs report every 80 ms, to each zone on its own, so that an owner that is cut off holds up no other. A copy is settled after 150 ms. An order is given up after 250 ms, and an unanswered question about a load that was accepted is asked again instead of asking the engine for all that it holds.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -121,8 +121,10 @@
 	// refreshInterval is the time after which an unchanged announcement is published
 	// again, so that another control VM's judgement of silence does not stand.
 	refreshInterval = 5 * time.Second
-	// orderTimeout bounds the wait for the answer to an order.
-	orderTimeout = 1500 * time.Millisecond
+	// orderTimeout bounds the wait for the answer to an order, which takes some
+	// milliseconds. An engine gets no other order meanwhile, and loads that wait for it
+	// are refused.
+	orderTimeout = 250 * time.Millisecond
 	// tick is the pace of the work that no event starts.
 	tick = 250 * time.Millisecond
 )
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -249,7 +249,7 @@
 	return sum
 }
 
-// useMemory is the time for which a report of use counts. Reports come every 500 ms.
+// useMemory is the time for which a report of use counts. Reports come every 80 ms.
 const useMemory = 2 * time.Second
 
 // sumRunning returns the requests in flight at each upstream by weights. The caller holds
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -29,8 +29,12 @@
 	retryPause = 300 * time.Millisecond
 	// fetchTimeout bounds one fetch of the route table.
 	fetchTimeout = 1500 * time.Millisecond
-	// usageInterval is the time between two reports of use to the owner.
-	usageInterval = 500 * time.Millisecond
+	// usageInterval is the time between two reports of use to the owner, which unloads only
+	// what nobody uses. With reports every 500 ms, an adapter that was used once kept its
+	// place for 2 s, and loads waited for places while the store had room.
+	usageInterval = 80 * time.Millisecond
+	// usageTimeout bounds one report. An owner that is cut off gets no other meanwhile.
+	usageTimeout = 500 * time.Millisecond
 )
 
 // Parts are what a Follower works with.
@@ -65,6 +69,8 @@
 	lock     sync.Mutex
 	followed map[core.VMID]bool
 	controls []ControlVM
+	// reporting holds the zones to whose owner a report of use is on its way.
+	reporting map[core.ZoneID]bool
 	// wanted is the largest number that a control VM has named, and source the VM that
 	// named one last.
 	wanted core.ConfigNumber
@@ -74,7 +80,7 @@
 // Follow starts to follow the control VMs and returns a function that stops it.
 func Follow(parts Parts) (*Follower, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	follower := &Follower{parts: parts, ctx: ctx, fetching: make(chan struct{}, 1), followed: make(map[core.VMID]bool)}
+	follower := &Follower{parts: parts, ctx: ctx, fetching: make(chan struct{}, 1), followed: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool)}
 	for _, seed := range parts.Seeds {
 		follower.add(seed)
 	}
@@ -269,18 +275,42 @@
 			return
 		case <-ticker.C:
 		}
-		var reports sync.WaitGroup
 		for zone, owner := range follower.parts.Table.Owners() {
-			if usage := follower.parts.Table.usage(follower.parts.VM, zone); usage != nil {
-				reports.Go(func() { follower.reportZone(zone, owner, usage) })
+			if !follower.beginReport(zone) {
+				continue
 			}
+			usage := follower.parts.Table.usage(follower.parts.VM, zone)
+			if usage == nil {
+				follower.endReport(zone)
+				continue
+			}
+			follower.running.Go(func() {
+				defer follower.endReport(zone)
+				follower.reportZone(zone, owner, usage)
+			})
 		}
-		reports.Wait()
 	}
 }
 
+// beginReport returns false while a report to the owner of a zone is on its way.
+func (follower *Follower) beginReport(zone core.ZoneID) bool {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	if follower.reporting[zone] {
+		return false
+	}
+	follower.reporting[zone] = true
+	return true
+}
+
+func (follower *Follower) endReport(zone core.ZoneID) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	delete(follower.reporting, zone)
+}
+
 func (follower *Follower) reportZone(zone core.ZoneID, owner core.VMID, usage *wire.Usage) {
-	ctx, cancel := context.WithTimeout(follower.ctx, usageInterval)
+	ctx, cancel := context.WithTimeout(follower.ctx, usageTimeout)
 	defer cancel()
 	response, err := follower.parts.Calls.Call(ctx, owner, &wire.Request{Body: &wire.Request_Usage{Usage: usage}})
 	if err != nil {
--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -152,8 +152,8 @@
 }
 
 // settled is the time after which a copy that nobody is known to have asked for may be
-// unloaded. Reports of use come every half second.
-const settled = 500 * time.Millisecond
+// unloaded. Reports of use come every 80 ms, and who asked for the copy sends at once.
+const settled = 150 * time.Millisecond
 
 // victim returns the idle adapter that is missed least, and its demand.
 func (table *Table) victim(now time.Duration, engine *engine) (core.WeightKey, float64, bool) {
--- a/pkg/policy/residency/plan.go
+++ b/pkg/policy/residency/plan.go
@@ -217,6 +217,10 @@
 	switch {
 	case outcome == Fenced:
 		return false
+	case outcome == Unanswered && order.Check && engine.conflicts < maxConflicts:
+		// What the order asks about was accepted before, so nothing is in doubt.
+		engine.conflicts++
+		table.later(now, engine, order)
 	case order.Kind == Report || outcome == Unanswered || outcome == Refused:
 		table.lose(now, engine)
 	case outcome == Conflict && order.Check:
@@ -237,8 +241,8 @@
 	return true
 }
 
-// maxConflicts is the number of conflicts in a row after which the engine is asked what it
-// holds.
+// maxConflicts is the number of conflicts, or of questions without an answer, in a row
+// after which the engine is asked what it holds.
 const maxConflicts = 3
 
 // restore takes back what was announced when an order was decided that did not come about.
