Report use only after a change, and the end of the last use

Cause: reports of use every 80 ms from each entry VM to the owner of each zone grow with the product of both: 67 entry VMs and 4 zones would send 3,350 a second. And the end of the last request in another zone was not reported, so its owner kept the place for 2 s.

Change: a tick sends to an owner only if a request began or ended in its zone, or after 500 ms.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -43,8 +43,8 @@
 	callTimeout = time.Second
 	// retryAfter is the time between two probes of a VM that failed.
 	retryAfter = time.Second
-	// flushTimeout bounds the end of a VM that can reach no disk.
-	flushTimeout = 5 * time.Second
+	// defaultFlush bounds the end of a VM that can reach no disk.
+	defaultFlush = 5 * time.Second
 )
 
 // ErrFull is returned by Start if too many records wait for a disk.
@@ -69,6 +69,9 @@
 	// Gather is the pause after a batch while no start waits. By default there is none
 	// for a VM that is not busy.
 	Gather time.Duration
+	// Flush bounds the time for which the end of the auditor waits for disks; 5 s by
+	// default.
+	Flush time.Duration
 	// CopyDelay is the pause after a batch of second copies; 20 ms by default.
 	CopyDelay time.Duration
 }
@@ -122,8 +125,8 @@
 	holder core.VMID
 }
 
-// New returns an auditor and the function that sends what waits, for at most 5 s,
-// and stops it.
+// New returns an auditor and the function that sends what waits, for Options.Flush at
+// most, and stops it.
 func New(options Options) (*Auditor, func()) {
 	if options.Queue <= 0 {
 		options.Queue = defaultQueue
@@ -131,6 +134,9 @@
 	if options.Copies <= 0 {
 		options.Copies = defaultCopies
 	}
+	if options.Flush <= 0 {
+		options.Flush = defaultFlush
+	}
 	if options.CopyDelay <= 0 {
 		options.CopyDelay = copyDelay
 	}
@@ -304,7 +310,7 @@
 		auditor.senders.Wait()
 		close(stopped)
 	}()
-	timer := time.NewTimer(flushTimeout)
+	timer := time.NewTimer(auditor.options.Flush)
 	defer timer.Stop()
 	select {
 	case <-stopped:
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -275,11 +275,12 @@
 			return
 		case <-ticker.C:
 		}
+		now := clock.Now()
 		for zone, owner := range follower.parts.Table.Owners() {
 			if !follower.beginReport(zone) {
 				continue
 			}
-			usage := follower.parts.Table.usage(follower.parts.VM, zone)
+			usage := follower.parts.Table.usage(now, follower.parts.VM, zone)
 			if usage == nil {
 				follower.endReport(zone)
 				continue
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -54,6 +54,10 @@
 	entryVMs  int
 	// used counts the sends since the last report to the owner of a zone.
 	used map[core.ZoneID]map[ServiceKey]int
+	// touched holds the zones in which a request has begun or ended since the last report,
+	// and reported the time of the last one.
+	touched  map[core.ZoneID]bool
+	reported map[core.ZoneID]time.Duration
 }
 
 // NewTable returns the empty picture of an entry VM in a zone.
@@ -67,6 +71,8 @@
 		revisions: make(map[core.WeightKey]core.Revision),
 		owners:    make(map[core.ZoneID]Owner),
 		used:      make(map[core.ZoneID]map[ServiceKey]int),
+		touched:   make(map[core.ZoneID]bool),
+		reported:  make(map[core.ZoneID]time.Duration),
 	}
 }
 
@@ -357,6 +363,7 @@
 		return
 	}
 	known.running--
+	table.touched[known.instance.Zone] = true
 	if known.inFlight[pick.Weights]--; known.inFlight[pick.Weights] <= 0 {
 		delete(known.inFlight, pick.Weights)
 	}
@@ -410,6 +417,7 @@
 // use counts a send for the owner of the engine. The caller holds the lock.
 func (table *Table) use(known *upstream, query Query) {
 	known.running++
+	table.touched[known.instance.Zone] = true
 	if query.Weights.Model == "" {
 		return
 	}
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -1,15 +1,28 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
+// usageRenewal is the time after which a report is due although nothing has changed: the
+// owner forgets one after 2 s.
+const usageRenewal = 500 * time.Millisecond
+
 // usage returns what was sent to the engines of a zone since the last call, and the
-// requests in flight there. It returns nil if there is nothing to say.
-func (table *Table) usage(vm core.VMID, zone core.ZoneID) *wire.Usage {
+// requests in flight there. It returns nil if there is nothing to say. An owner hears as
+// often as requests begin and end, and not for each tick of each entry VM.
+func (table *Table) usage(now time.Duration, vm core.VMID, zone core.ZoneID) *wire.Usage {
 	table.lock.Lock()
 	defer table.lock.Unlock()
+	touched := table.touched[zone]
+	if !touched && now-table.reported[zone] < usageRenewal {
+		return nil
+	}
+	delete(table.touched, zone)
+	table.reported[zone] = now
 	usage := &wire.Usage{Vm: string(vm)}
 	for key, count := range table.used[zone] {
 		usage.Weights = append(usage.Weights, &wire.WeightUse{
@@ -22,7 +35,8 @@
 			usage.Upstreams = append(usage.Upstreams, known.use(id))
 		}
 	}
-	if len(usage.Weights) == 0 && len(usage.Upstreams) == 0 && zone != table.zone {
+	// An owner that is not told of the last end keeps what was in use for 2 s more.
+	if !touched && len(usage.Weights) == 0 && len(usage.Upstreams) == 0 && zone != table.zone {
 		return nil
 	}
 	return usage
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -20,6 +20,9 @@
 	// recordCopyDelay gathers second copies: each batch costs a sync on a disk that the
 	// replicated state uses too.
 	recordCopyDelay = time.Second
+	// recordFlush is the time for the last records of a VM that stops. It fits into what is
+	// left of the grace time after the last answer.
+	recordFlush = killMargin - 100*time.Millisecond
 	// recordFileBytes is the size of one audit file. A restart reads one.
 	recordFileBytes core.Bytes = 4 << 20
 )
@@ -32,7 +35,7 @@
 	self := auditor.Member{VM: settings.VM, Zone: settings.Zone, Disk: true}
 	records, closeRecords := auditor.New(auditor.Options{
 		Self: self, Incarnation: identity.Incarnation, Members: []auditor.Member{self}, Store: disk, Caller: calls, Logger: logger,
-		Gather: recordGather, CopyDelay: recordCopyDelay,
+		Gather: recordGather, CopyDelay: recordCopyDelay, Flush: recordFlush,
 	})
 	return records, func() {
 		closeRecords()
@@ -44,7 +47,7 @@
 func entryRecords(settings EntrySettings, identity peer.Identity, calls *peer.Client, logger *log.Logger) (*auditor.Auditor, func()) {
 	return auditor.New(auditor.Options{
 		Self: auditor.Member{VM: settings.VM, Zone: settings.Zone}, Incarnation: identity.Incarnation, Caller: calls, Logger: logger,
-		Gather: recordGather, CopyDelay: recordCopyDelay,
+		Gather: recordGather, CopyDelay: recordCopyDelay, Flush: recordFlush,
 	})
 }
 
