Read the life of a request from several logs, and test the walks

Cause: docs/OPERATIONS.md showed three walks from a request's id to its cause that no test kept true. Times of lines had whole seconds, so lines of several processes could not be put in order, and nothing of ours read them.

Ruled out: walks on running processes (the lines of a decision do not depend on them), and a search by grep alone, which loses the order.

Figures: the page passes as it stood; with one reason changed the test fails. Volume and level of the logs are as before.

--- a/cmd/dandelionring/main.go
+++ b/cmd/dandelionring/main.go
@@ -29,7 +29,7 @@
 func commands() []command {
 	return []command{
 		&serveCommand{}, &checkCommand{}, newListCommand("plans"), newListCommand("grants"),
-		&statusCommand{}, &levelCommand{}, &auditCommand{}, &reportCommand{}, &hashCommand{},
+		&statusCommand{}, &levelCommand{}, &auditCommand{}, &reportCommand{}, &logsCommand{}, &hashCommand{},
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/page_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// decisions are the fields whose values a walk of the page explains.
+var decisions = []string{"outcome", "event", "reason", "status", "sends", "runs"}
+
+var (
+	sampleMessage = regexp.MustCompile(`msg="(A request ended\.|A send failed\.)" `)
+	sampleField   = regexp.MustCompile(`(\w+)=("[^"]*"|\S*)`)
+)
+
+// TestOperationsPage guards against a page that shows lines which the gateway does not
+// write: each sample of docs/OPERATIONS.md must be a line of testdata/walks, with the same
+// fields and the same decisions.
+func TestOperationsPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	walks, err := os.ReadFile("testdata/walks")
+	if err != nil {
+		t.Fatal(err)
+	}
+	samples := 0
+	for sample := range strings.Lines(string(page)) {
+		message := sampleMessage.FindStringSubmatchIndex(sample)
+		if message == nil {
+			continue
+		}
+		samples++
+		written := false
+		for line := range strings.Lines(string(walks)) {
+			name := sample[message[2]:message[3]]
+			written = written || strings.HasPrefix(line, "log: \""+name) && covers(line, sample[message[1]:])
+		}
+		if !written {
+			t.Errorf("no walk writes the line %s", sample)
+		}
+	}
+	if samples < 6 {
+		t.Errorf("the page has %d lines of the gateway; its three walks have six", samples)
+	}
+}
+
+// covers reports whether a line of the walks has all fields of a sample, and the same
+// decisions.
+func covers(line, sample string) bool {
+	written := make(map[string]string)
+	for _, field := range sampleField.FindAllStringSubmatch(line, -1) {
+		written[field[1]] = strings.Trim(field[2], `"`)
+	}
+	for _, field := range sampleField.FindAllStringSubmatch(sample, -1) {
+		value, ok := written[field[1]]
+		if !ok {
+			return false
+		}
+		for _, decision := range decisions {
+			if decision == field[1] && value != strings.Trim(field[2], `"`) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -20,6 +21,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
@@ -30,9 +32,10 @@
 
 func (plainDialect) Parse(request *http.Request) Request {
 	patience, _ := strconv.Atoi(request.Header.Get("Patience"))
+	model, adapter, _ := strings.Cut(request.Header.Get("Weights"), "/")
 	return Request{
 		ID: core.RequestID(request.Header.Get("Id")), Patience: time.Duration(patience) * time.Millisecond,
-		LastEvent: request.Header.Get("Last"),
+		LastEvent: request.Header.Get("Last"), Weights: core.WeightKey{Model: core.ModelID(model), Adapter: core.AdapterID(adapter)},
 	}
 }
 
@@ -114,6 +117,13 @@
 	}
 }
 
+// noPlace stands for owners that find no engine.
+type noPlace struct{ reason string }
+
+func (placer noPlace) Place(context.Context, fleet.Query, bool, time.Duration) (core.UpstreamID, string) {
+	return "", placer.reason
+}
+
 // recordLog is a recorder in memory. It refuses starts while full is set.
 type recordLog struct {
 	lock  sync.Mutex // a leaf
@@ -183,6 +193,8 @@
 	}
 	count, kind, attempts := 3, "idempotent", 2
 	records := &recordLog{}
+	weights := ""
+	var lines bytes.Buffer
 	parts := Parts{Dialect: plainDialect{}, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
 	for _, arg := range data.CmdArgs {
 		switch arg.Key {
@@ -190,6 +202,16 @@
 			count, _ = strconv.Atoi(arg.Vals[0])
 		case "kind":
 			kind = arg.Vals[0]
+		case "weights":
+			weights = arg.Vals[0]
+		case "place":
+			parts.Placer = noPlace{strings.Join(arg.Vals, " ")}
+		case "log":
+			logs, err := logging.NewStructured(&lines, "info")
+			if err != nil {
+				t.Fatal(err)
+			}
+			parts.Logger = logs.Part("gateway")
 		case "records":
 			parts.Recorder = records
 			records.full = len(arg.Vals) > 0 && arg.Vals[0] == "full"
@@ -208,20 +230,42 @@
 	defer closeGateway()
 	server := httptest.NewServer(gateway)
 	defer server.Close()
-	text := ask(server, upstreams)
+	text := ask(server, upstreams, weights)
 	server.Close() // the end of a send is recorded after its answer
 	records.lock.Lock()
 	defer records.lock.Unlock()
 	for _, line := range records.lines {
 		text += line + "\n"
 	}
-	return text
+	return text + masked(t, lines.String())
+}
+
+// masked returns the lines of a log without their times and what differs in each run.
+func masked(t *testing.T, text string) string {
+	var out strings.Builder
+	for text := range strings.Lines(text) {
+		line, ok := logging.ParseLine(text)
+		if !ok {
+			t.Fatalf("unread line %q", text)
+		}
+		fmt.Fprintf(&out, "log: %q", line.Message)
+		for _, field := range line.Fields {
+			switch field.Key {
+			case "millis", "cost", "error":
+				field.Value = "#"
+			}
+			fmt.Fprintf(&out, " %s=%q", field.Key, field.Value)
+		}
+		out.WriteByte('\n')
+	}
+	return out.String()
 }
 
-func ask(server *httptest.Server, upstreams *upstreams) string {
+func ask(server *httptest.Server, upstreams *upstreams, weights string) string {
 	request, _ := http.NewRequest(http.MethodPost, server.URL+"/p/a%2Fb?q=1", strings.NewReader("body"))
 	request.Host = "h.example"
 	request.Header.Set("Id", "r1")
+	request.Header.Set("Weights", weights)
 	var out strings.Builder
 	response, err := server.Client().Do(request)
 	if err != nil {
--- /dev/null
+++ b/internal/logging/line_test.go
@@ -0,0 +1,45 @@
+package logging
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
+)
+
+// TestParseLine guards against a reader that takes a line of another program, or one that
+// was cut off, for a statement of ours. Cases are read from testdata/lines.
+func TestParseLine(t *testing.T) {
+	datadriven.RunTest(t, "testdata/lines", func(_ *testing.T, data *datadriven.TestData) string {
+		var out strings.Builder
+		for text := range strings.Lines(data.Input) {
+			line, ok := ParseLine(text)
+			if !ok {
+				out.WriteString("not read\n")
+				continue
+			}
+			fmt.Fprintf(&out, "%s part=%s message=%q fields=%v\n", line.Time.Format(TimeFormat), line.Part, line.Message, line.Fields)
+		}
+		return out.String()
+	})
+}
+
+// TestLinesAreRead guards against lines that our own reader cannot read.
+func TestLinesAreRead(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	logs, err := NewStructured(&out, "info")
+	is.NoErr(err)
+	logs.Part("gateway").Info("A request ended.", "request", "r1", "reason", `a "quoted" = one`, "tried", []string{"u1", "u2"})
+	line, ok := ParseLine(out.String())
+	is.True(ok)
+	is.Equal(line.Part, "gateway")
+	is.Equal(line.Message, "A request ended.")
+	is.Equal(line.Get(RequestField), "r1")
+	is.Equal(line.Get("reason"), `a "quoted" = one`)
+	is.Equal(line.Get("tried"), "[u1 u2]")
+	is.Equal(line.Get("absent"), "")
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -10,6 +10,10 @@
 	"github.com/go-faster/errors"
 )
 
+// TimeFormat is that of the time of a line. Lines of several processes are put in order
+// by it, and a request takes some milliseconds.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Logs makes loggers that share a level. Use New; the zero value is not usable.
 type Logs struct {
 	out       io.Writer
@@ -47,7 +51,7 @@
 	defer logs.mutex.Unlock()
 	logger, ok := logs.parts[name]
 	if !ok {
-		logger = log.NewWithOptions(logs.out, log.Options{Prefix: name, Level: logs.level, ReportTimestamp: true, Formatter: logs.formatter})
+		logger = log.NewWithOptions(logs.out, log.Options{Prefix: name, Level: logs.level, ReportTimestamp: true, TimeFormat: TimeFormat, Formatter: logs.formatter})
 		logs.parts[name] = logger
 	}
 	return logger
