Move the choice of a zone's owner to a decision package

Cause: chooseOwner decided which control VM owns a zone's engines in a package that imports the encoding of messages, and the interface for orders to engines stood in two packages.

Ruled out: leaving it with its own test, since the layering test covers pkg/policy only.

Change: pkg/policy/ownership with Timing, Zone and Standing; its cases moved unchanged. control.Engines is the one interface for orders.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -24,8 +24,8 @@
 	Stream(ctx context.Context, vm core.VMID, request *wire.Request, receive func(*wire.Response) bool) error
 }
 
-// engines carries orders to engines.
-type engines interface {
+// Engines carries orders to engines.
+type Engines interface {
 	// Order gives an order under a fencing token. It returns what became of it.
 	Order(ctx context.Context, order residency.Order, token core.FencingToken) residency.Outcome
 	// Report asks an engine what it holds.
@@ -58,7 +58,7 @@
 	Host       *host.Host
 	Commands   *host.Client
 	Calls      caller
-	Engines    engines
+	Engines    Engines
 	Jobs       *pool.Pool
 	// Records may be nil: no records are kept or taken then.
 	Records records
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/ownership"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 	"github.com/dandelionring/dandelionring/pkg/replica/raft"
 )
@@ -168,6 +169,9 @@
 	}
 }
 
+// leases are the times by which zones are given away.
+var leases = ownership.Timing{Lease: leaseTime, Margin: leaseMargin, Steady: steadyBefore}
+
 // assign gives away the zones that have no owner, or whose owner has no lease any more.
 func (control *Control) assign(ctx context.Context, replica *host.Replica, term raft.Term, now, leading time.Duration) {
 	standings := control.peers.standings(now)
@@ -175,7 +179,7 @@
 		group := core.GroupID{Zone: zone, Kind: core.EngineGroup, Name: enginesName}
 		var owner ledger.Ownership
 		replica.View(func(state *ledger.State) { owner, _ = state.Owner(group) })
-		next, live, ok := chooseOwner(zone, owner, standings, now, leading)
+		next, live, ok := leases.Choose(now, ownership.Zone{Zone: zone, Owner: owner.VM, Standings: standings, Leading: leading})
 		if !ok {
 			continue
 		}
@@ -186,42 +190,6 @@
 	}
 }
 
-// chooseOwner returns the VM to which a zone's engines are to be given and whether the
-// present owner has a lease; it returns false if they stay where they are.
-func chooseOwner(zone core.ZoneID, owner ledger.Ownership, standings []standing, now, leading time.Duration) (next core.VMID, live, ok bool) {
-	held := owner.VM != "" && leading < leaseTime+leaseMargin
-	var best standing
-	for _, standing := range standings {
-		alive := standing.granted != 0 && now-standing.granted < leaseTime
-		if standing.VM == owner.VM && standing.granted != 0 && now-standing.granted < leaseTime+leaseMargin {
-			held = true
-		}
-		local := standing.Zone == zone
-		if alive && (best.VM == "" || local && best.Zone != zone) {
-			best = standing
-		}
-	}
-	switch {
-	case best.VM == "" || best.VM == owner.VM:
-		return "", false, false
-	case !held:
-		return best.VM, false, true
-	case best.Zone == zone && best.steady >= steadyBefore && ownerZone(owner, standings) != zone:
-		return best.VM, true, leading >= leaseTime+leaseMargin
-	default:
-		return "", false, false
-	}
-}
-
-func ownerZone(owner ledger.Ownership, standings []standing) core.ZoneID {
-	for _, standing := range standings {
-		if standing.VM == owner.VM {
-			return standing.Zone
-		}
-	}
-	return ""
-}
-
 // zones returns the zones of the known engines and control VMs.
 func (control *Control) zones() []core.ZoneID {
 	control.lock.Lock()
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/ownership"
 )
 
 // peerMemory is the time for which a control VM is kept in mind without a word of it.
@@ -141,22 +142,15 @@
 	}
 }
 
-// standing is what the leader knows of a control VM when it gives away zones.
-type standing struct {
-	Peer
-	granted time.Duration
-	// steady is the time for which the VM has renewed without a gap.
-	steady time.Duration
-}
-
-func (peers *Peers) standings(now time.Duration) []standing {
+// standings returns what the leader knows of the control VMs, sorted by name.
+func (peers *Peers) standings(now time.Duration) []ownership.Standing {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
-	var all []standing
+	var all []ownership.Standing
 	for _, peer := range peers.peers {
-		all = append(all, standing{Peer: peer.Peer, granted: peer.granted, steady: now - peer.since})
+		all = append(all, ownership.Standing{VM: peer.VM, Zone: peer.Zone, Granted: peer.granted, Steady: now - peer.since})
 	}
-	slices.SortFunc(all, func(a, b standing) int { return cmp.Compare(a.VM, b.VM) })
+	slices.SortFunc(all, func(a, b ownership.Standing) int { return cmp.Compare(a.VM, b.VM) })
 	return all
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,7 +17,6 @@
 	"github.com/dandelionring/dandelionring/internal/replication"
 	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/core"
-	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 )
 
 // ControlSettings describe a control VM.
@@ -48,12 +47,6 @@
 	Reload func() ([]core.VMID, error)
 }
 
-// Engines carries orders to engines.
-type Engines interface {
-	Order(ctx context.Context, order residency.Order, token core.FencingToken) residency.Outcome
-	Report(ctx context.Context, order residency.Order) (residency.State, error)
-}
-
 const (
 	// orderWorkers is the number of orders to engines that are on their way at once.
 	orderWorkers = 24
@@ -63,7 +56,7 @@
 
 // RunControl runs a control VM until stop is closed. The handler serves operators and
 // upstreams.
-func RunControl(settings ControlSettings, engines Engines, handler func(*control.Control) http.Handler, logs *logging.Logs, stop, reload <-chan struct{}) error {
+func RunControl(settings ControlSettings, engines control.Engines, handler func(*control.Control) http.Handler, logs *logging.Logs, stop, reload <-chan struct{}) error {
 	identity := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.Secret)}
 	calls, closeCalls := peer.NewClient(identity, nil, logs.Part("peer"))
 	defer closeCalls()
--- a/internal/control/owner_test.go
+++ b/pkg/policy/ownership/ownership_test.go
@@ -1,4 +1,4 @@
-package control
+package ownership
 
 import (
 	"fmt"
@@ -10,40 +10,38 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
-	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
-// TestChooseOwner guards against two owners of a zone's engines with a lease, and against
+// TestChoose guards against two owners of a zone's engines with a lease, and against
 // a zone that stays without an owner.
-func TestChooseOwner(t *testing.T) {
+func TestChoose(t *testing.T) {
 	datadriven.RunTest(t, "testdata/owner", func(t *testing.T, data *datadriven.TestData) string {
-		var owner ledger.Ownership
-		leading := time.Hour
+		timing := Timing{Lease: 2 * time.Second, Margin: 1500 * time.Millisecond, Steady: 6 * time.Second}
+		zone := Zone{Zone: "z1", Leading: time.Hour}
 		for _, arg := range data.CmdArgs {
 			switch arg.Key {
 			case "owner":
-				owner.VM = core.VMID(arg.Vals[0])
+				zone.Owner = core.VMID(arg.Vals[0])
 			case "leading":
-				leading = millis(arg.Vals[0])
+				zone.Leading = millis(arg.Vals[0])
 			}
 		}
 		const now = 100 * time.Second
-		var standings []standing
 		for line := range strings.Lines(data.Input) {
 			fields := strings.Fields(line)
-			next := standing{Peer: Peer{VM: core.VMID(fields[0]), Zone: core.ZoneID(fields[1])}}
+			next := Standing{VM: core.VMID(fields[0]), Zone: core.ZoneID(fields[1])}
 			for _, field := range fields[2:] {
 				name, value, _ := strings.Cut(field, "=")
 				switch name {
 				case "granted":
-					next.granted = now - millis(value)
+					next.Granted = now - millis(value)
 				case "steady":
-					next.steady = millis(value)
+					next.Steady = millis(value)
 				}
 			}
-			standings = append(standings, next)
+			zone.Standings = append(zone.Standings, next)
 		}
-		vm, live, ok := chooseOwner("z1", owner, standings, now, leading)
+		vm, live, ok := timing.Choose(now, zone)
 		if !ok {
 			return "stays\n"
 		}
