--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -32,9 +32,11 @@
 	printf '%s\n' "$text"
 }
 
-# between LOW HIGH prints a random number of the seed.
+# between LOW HIGH sets drawn to a random number of the seed. It prints nothing: the shell
+# seeds RANDOM anew in a subshell.
+drawn=0
 between() {
-	echo $(($1 + RANDOM % ($2 - $1 + 1)))
+	drawn=$(($1 + RANDOM % ($2 - $1 + 1)))
 }
 
 now_micros() {
@@ -121,15 +123,15 @@
 step_pick() {
 	local name=$1
 	shift
-	chosen[$name]=${*:$(between 1 $#):1}
+	between 1 $#
+	chosen[$name]=${*:drawn:1}
 	echo "         $name = ${chosen[$name]}"
 }
 
 # pause LOW HIGH waits for a time in milliseconds.
 step_pause() {
-	local millis
-	millis=$(between "$1" "$2")
-	sleep "$((millis / 1000)).$(printf %03d $((millis % 1000)))"
+	between "$1" "$2"
+	sleep "$((drawn / 1000)).$(printf %03d $((drawn % 1000)))"
 }
 
 # event marks the time from which the recovery counts.
@@ -309,7 +311,8 @@
 		[ "$round" != $((rounds * 2 / 3)) ] || { echo "         restart $2" && start_vm "$2"; }
 		writers=()
 		for operator in 1 2 3; do
-			put_until_known "${vm_names[$(between 0 $((${#vm_names[@]} - 1)))]}" "$list" "$(limited_plans $((round * 1000 + operator)))" >"$run_dir/operator-$operator" &
+			between 0 $((${#vm_names[@]} - 1))
+			put_until_known "${vm_names[drawn]}" "$list" "$(limited_plans $((round * 1000 + operator)))" >"$run_dir/operator-$operator" &
 			writers+=($!)
 		done
 		wait "${writers[@]}"
