Bound what is read from upstreams and callers, and use one response reader

Cause: the head of a response, an event of a stream, informational responses and the bodies held at the same time had no bound. A late second copy of a response that names no request was taken for the response to the next request. A connection whose response was read in part could go back to the pool. Upstreams of the own deployment were read with net/http, which gave a late copy to the next call, and lines without a token kept a stalled stream alive.

Change: internal/h1 waits for a whole head within its bounds before it parses it, bounds informational responses and bodies, takes the memory of large bodies from a limited reservation as the bytes arrive, and puts a connection back only after the end of its response. Events are limited to 64 KiB and no longer copied at each read. internal/upstream sends through internal/h1; a connection is used again only if the upstream names the attempt in its answer. Progress of a stream is counted in tokens and of a service's answer in events or 1 KiB.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -8,6 +8,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -24,6 +25,8 @@
 	service     core.ServiceID
 	maxConns    int
 	body        []byte
+	// memory is the part of the gateway's memory for bodies that this call holds.
+	memory *h1.Reservation
 
 	start    time.Time
 	deadline time.Time
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -35,8 +35,9 @@
 
 // ResponseInfo holds what the head of an upstream's response states.
 type ResponseInfo struct {
-	// Foreign is set if the response belongs to another request.
-	Foreign bool
+	// Identified is set if the response states to which request it belongs, and Foreign if
+	// that is another one.
+	Identified, Foreign bool
 	// Signed is set if the response has the signature of the upstream.
 	Signed bool
 	// NotRun is set if the upstream states that it has not run the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -43,7 +42,9 @@
 type Gateway struct {
 	options Options
 	conns   h1.Pool
-	copies  copyRequester
+	// bodies limits the bodies of requests and responses that are held at the same time.
+	bodies h1.Memory
+	copies copyRequester
 	// routeTableWaiters counts the requests that wait for the first route table.
 	routeTableWaiters atomic.Int32
 
@@ -70,6 +71,9 @@
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now()}
 	call.request = gateway.options.Dialect.Parse(incoming)
+	memory, release := gateway.bodies.Reserve()
+	defer release()
+	call.memory = memory
 	index := gateway.waitForRoutes(call)
 	if index == nil {
 		call.refuse(http.StatusServiceUnavailable, "no route table is in force")
@@ -158,6 +162,9 @@
 	return gateway.budget(service).Allow(clock.Now(), vms)
 }
 
+// defaultBodyBytes limits the body of a request if the operators set no limit.
+const defaultBodyBytes core.Bytes = 8 << 20
+
 // readBody reads the whole body, so that it can be sent more than once. It returns false
 // if it has refused the request.
 func (call *call) readBody(limits core.CallerLimits) bool {
@@ -168,25 +175,22 @@
 	controller := http.NewResponseController(call.writer)
 	_ = controller.SetReadDeadline(call.start.Add(call.route.Timeout))
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	reader := io.Reader(call.incoming.Body)
+	limit := int64(defaultBodyBytes)
 	if limits.BodyBytes > 0 {
-		if call.incoming.ContentLength > int64(limits.BodyBytes) {
-			call.refuseBody(http.StatusRequestEntityTooLarge, "the body is over the limit")
-			return false
-		}
-		reader = http.MaxBytesReader(call.writer, call.incoming.Body, int64(limits.BodyBytes))
+		limit = int64(limits.BodyBytes)
 	}
-	var err error
-	if call.incoming.ContentLength > 0 {
-		call.body = make([]byte, call.incoming.ContentLength)
-		_, err = io.ReadFull(reader, call.body)
-	} else {
-		call.body, err = io.ReadAll(reader)
+	if call.incoming.ContentLength > limit {
+		call.refuseBody(http.StatusRequestEntityTooLarge, "the body is over the limit")
+		return false
 	}
-	var tooLarge *http.MaxBytesError
+	var err error
+	call.body, err = h1.ReadAll(call.incoming.Body, limit, call.memory)
+	var tooLarge *h1.BoundError
 	switch {
 	case errors.As(err, &tooLarge):
 		call.refuseBody(http.StatusRequestEntityTooLarge, "the body is over the limit")
+	case errors.Is(err, h1.ErrMemory):
+		call.refuseBody(http.StatusServiceUnavailable, err.Error())
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		call.refuseBody(http.StatusRequestTimeout, "the body was not received in time")
 	case err != nil:
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -52,7 +52,8 @@
 func (testDialect) Classify(response *http.Response, request Request) ResponseInfo {
 	id := response.Header.Get("Id")
 	return ResponseInfo{
-		Foreign: id != "" && id != string(request.ID), Signed: response.Header.Get("Signed") != "",
+		Identified: id != "",
+		Foreign:    id != "" && id != string(request.ID), Signed: response.Header.Get("Signed") != "",
 		NotRun: response.Header.Get("Not-Run") != "", Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
 	}
 }
@@ -93,6 +94,7 @@
 func (upstreams *scriptedUpstreams) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
+	late := ""
 	for {
 		request, err := http.ReadRequest(reader)
 		if err != nil {
@@ -100,6 +102,9 @@
 		}
 		body, _ := io.ReadAll(request.Body)
 		answer := upstreams.next(request, body)
+		_, _ = io.WriteString(conn, late)
+		answer, late, _ = strings.Cut(answer, "LATE")
+		late = strings.ReplaceAll(late, "\n", "\r\n")
 		answer, cut := strings.CutSuffix(answer, "CUT")
 		answer, reset := strings.CutSuffix(answer, "RESET")
 		head, content, _ := strings.Cut(answer, "\n\n")
@@ -185,9 +190,10 @@
 	})
 }
 
-// runCase sends one request. The input holds the responses of the upstreams, separated by
-// lines of two dashes. A line feed becomes CR LF in the head of a response and stays as it
-// is in the body.
+// runCase sends one request, or as many as the argument requests states. The input holds
+// the responses of the upstreams, separated by lines of two dashes. A line feed becomes
+// CR LF in the head of a response and stays as it is in the body. What follows LATE is sent
+// on the same connection after the next request has arrived there, with CR LF everywhere.
 func runCase(t *testing.T, data *datadriven.TestData) string {
 	upstreams := &scriptedUpstreams{}
 	for part := range strings.SplitSeq(data.Input+"\n", "--\n") {
@@ -195,7 +201,7 @@
 			upstreams.answers = append(upstreams.answers, strings.ReplaceAll(part, `\n`, "\n"))
 		}
 	}
-	count, kind, attempts := 3, "idempotent", 2
+	count, kind, attempts, requests := 3, "idempotent", 2, 1
 	records := &memoryRecorder{}
 	weights := ""
 	var lines bytes.Buffer
@@ -204,6 +210,8 @@
 		switch arg.Key {
 		case "upstreams":
 			count, _ = strconv.Atoi(arg.Vals[0])
+		case "requests":
+			requests, _ = strconv.Atoi(arg.Vals[0])
 		case "kind":
 			kind = arg.Vals[0]
 		case "weights":
@@ -234,7 +242,11 @@
 	defer closeGateway()
 	server := httptest.NewServer(gateway)
 	defer server.Close()
-	text := sendRequest(server, upstreams, weights)
+	text := ""
+	for i := range requests {
+		text += sendRequest(server, fmt.Sprintf("r%d", i+1), weights)
+	}
+	text += upstreams.sends()
 	server.Close() // the end of a send is recorded after its response was sent
 	records.lock.Lock()
 	defer records.lock.Unlock()
@@ -266,25 +278,27 @@
 	return out.String()
 }
 
-// sendRequest sends a request to the gateway. It returns the response and the requests
-// that the upstreams received.
-func sendRequest(server *httptest.Server, upstreams *scriptedUpstreams, weights string) string {
+// sendRequest sends a request to the gateway and returns the response.
+func sendRequest(server *httptest.Server, id, weights string) string {
 	request, _ := http.NewRequest(http.MethodPost, server.URL+"/p/a%2Fb?q=1", strings.NewReader("body"))
 	request.Host = "h.example"
-	request.Header.Set("Id", "r1")
+	request.Header.Set("Id", id)
 	request.Header.Set("Weights", weights)
-	var out strings.Builder
 	response, err := server.Client().Do(request)
 	if err != nil {
-		out.WriteString("no answer\n")
-	} else {
-		body, err := io.ReadAll(response.Body)
-		response.Body.Close()
-		fmt.Fprintf(&out, "%d %q whole=%t signed=%t retry-after=%q\n", response.StatusCode, body, err == nil,
-			response.Header.Get("Signed") != "", response.Header.Get("Retry-After"))
+		return "no answer\n"
 	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return fmt.Sprintf("%d %q whole=%t signed=%t retry-after=%q\n", response.StatusCode, body, err == nil,
+		response.Header.Get("Signed") != "", response.Header.Get("Retry-After"))
+}
+
+// sends returns the requests that the upstreams have received.
+func (upstreams *scriptedUpstreams) sends() string {
 	upstreams.lock.Lock()
 	defer upstreams.lock.Unlock()
+	var out strings.Builder
 	for _, line := range upstreams.received {
 		out.WriteString("send: " + line + "\n")
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,6 +33,10 @@
 // forwarded.
 const maxAnswerSize core.Bytes = 8 << 20
 
+// errUnidentified reports a response that does not state to which request it belongs, on a
+// connection that has carried an earlier request.
+var errUnidentified = errors.New("the response on a reused connection names no request")
+
 // attempt is one send to one upstream.
 type attempt struct {
 	call      *call
@@ -118,9 +121,18 @@
 	}
 }
 
-// connectionLost reports and logs a connection error, unless the context has ended.
+// connectionLost reports and logs a connection error, unless the context has ended. A
+// response over a bound shows that the upstream can be reached and counts as its failure;
+// a response for which this VM has no memory does not count against the upstream.
 func (attempt *attempt) connectionLost(ctx context.Context, event string, err error) nextStep {
-	if ctx.Err() == nil {
+	var bound *h1.BoundError
+	switch {
+	case errors.As(err, &bound):
+		attempt.observe(fleet.Failed)
+		attempt.log("response over a bound", err)
+	case errors.Is(err, h1.ErrMemory):
+		attempt.log("no memory for the response", err)
+	case ctx.Err() == nil:
 		attempt.observe(fleet.Unreachable)
 		attempt.log(event, err)
 	}
@@ -133,7 +145,8 @@
 
 // readOwnResponse reads the head of the response to this request. It skips responses to
 // other requests: an upstream may have sent a second response to the previous request on
-// the connection, which is read only now.
+// the connection, which is read only now. A response on a reused connection that names no
+// request may be such a second response, so it is an error whatever it states.
 func (attempt *attempt) readOwnResponse() (*http.Response, ResponseInfo, error) {
 	call := attempt.call
 	for range maxResponseHeads {
@@ -142,13 +155,16 @@
 			return nil, ResponseInfo{}, err
 		}
 		info := call.gateway.options.Dialect.Classify(response, call.request)
+		if !info.Foreign && !info.Identified && attempt.conn.Reused() {
+			return nil, ResponseInfo{}, errUnidentified
+		}
 		if !info.Foreign {
 			return response, info, nil
 		}
 		if response.ContentLength < 0 {
 			return nil, ResponseInfo{}, errors.New("response to another request has no Content-Length")
 		}
-		if _, err := io.CopyN(io.Discard, response.Body, response.ContentLength); err != nil {
+		if err := h1.Discard(response); err != nil {
 			return nil, ResponseInfo{}, errors.Wrap(err, "skip response to another request")
 		}
 	}
@@ -163,7 +179,7 @@
 		call.gateway.options.Table.MarkNotHeld(attempt.selection, call.request.Weights)
 	}
 	attempt.log("rejected with "+strconv.Itoa(response.StatusCode), nil)
-	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, int64(maxAnswerSize))); err != nil {
+	if err := h1.Discard(response); err != nil {
 		attempt.drop()
 	} else {
 		call.gateway.conns.Put(attempt.key, attempt.conn)
@@ -178,10 +194,7 @@
 // sent again after an incomplete response if the route allows it.
 func (attempt *attempt) forwardWhole(ctx context.Context, response *http.Response) nextStep {
 	call := attempt.call
-	body, err := io.ReadAll(io.LimitReader(response.Body, int64(maxAnswerSize)+1))
-	if err == nil && len(body) > int(maxAnswerSize) {
-		err = errors.New("the body of the response is over the limit")
-	}
+	body, err := h1.ReadAll(response.Body, int64(maxAnswerSize), call.memory)
 	if err != nil {
 		attempt.drop()
 		return attempt.connectionLost(ctx, "broken answer", err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -26,7 +27,8 @@
 	chunk := make([]byte, readSize)
 	for {
 		count, err := response.Body.Read(chunk)
-		if whole := splitter.split(chunk[:count]); len(whole) > 0 {
+		whole, tooLarge := splitter.split(chunk[:count])
+		if len(whole) > 0 {
 			if !attempt.forwardEvents(response, whole) {
 				attempt.drop()
 				return finished
@@ -36,6 +38,8 @@
 			}
 		}
 		switch {
+		case tooLarge != nil:
+			return attempt.streamBroken(ctx, tooLarge)
 		case err == nil:
 		case err == io.EOF && splitter.atBoundary():
 			return attempt.finishStream(response)
@@ -81,34 +85,40 @@
 	return tryAnother
 }
 
+// maxEventBytes limits one event of a stream. An event holds some tokens of text.
+const maxEventBytes = 64 << 10
+
+// eventEnd ends a server-sent event.
+var eventEnd = []byte("\n\n")
+
 // eventSplitter splits a stream of server-sent events at the ends of events. The zero
 // value is at the start of a stream.
 type eventSplitter struct {
-	// partial holds the bytes after the last complete event.
-	partial []byte
+	// pending holds the bytes of the stream that were not returned yet, and returned the
+	// number of bytes at its start that the last call returned.
+	pending  []byte
+	returned int
 }
 
 // split appends chunk to the stream and returns the events that are complete now. The
-// result is valid until the next call.
-func (splitter *eventSplitter) split(chunk []byte) []byte {
-	if len(chunk) == 0 {
-		return nil
-	}
-	if len(splitter.partial) > 0 {
-		chunk = append(splitter.partial, chunk...)
+// result is valid until the next call. It returns an *h1.BoundError, after the events
+// before it, if the next event is over maxEventBytes.
+func (splitter *eventSplitter) split(chunk []byte) ([]byte, error) {
+	rest := copy(splitter.pending, splitter.pending[splitter.returned:])
+	splitter.pending, splitter.returned = append(splitter.pending[:rest], chunk...), 0
+	searched := max(0, rest-len(eventEnd)+1)
+	if end := bytes.LastIndex(splitter.pending[searched:], eventEnd); end >= 0 {
+		splitter.returned = searched + end + len(eventEnd)
 	}
-	end := bytes.LastIndex(chunk, []byte("\n\n"))
-	if end < 0 {
-		splitter.partial = append([]byte(nil), chunk...)
-		return nil
+	var err error
+	if len(splitter.pending)-splitter.returned > maxEventBytes {
+		err = h1.NewBoundError("event", "bytes", maxEventBytes)
 	}
-	end += 2
-	splitter.partial = append([]byte(nil), chunk[end:]...)
-	return chunk[:end]
+	return splitter.pending[:splitter.returned], err
 }
 
 // atBoundary reports whether no part of an event is pending.
-func (splitter *eventSplitter) atBoundary() bool { return len(splitter.partial) == 0 }
+func (splitter *eventSplitter) atBoundary() bool { return len(splitter.pending) == splitter.returned }
 
 // lastEventID returns the ID of the last event that has one, or "".
 func lastEventID(whole []byte) string {
--- a/internal/h1/call.go
+++ b/internal/h1/call.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/go-faster/errors"
 )
 
-// maxCallAnswerSize is the size in bytes after which the body of the response to a call is
-// cut off.
+// maxCallAnswerSize is the largest size in bytes of the body of the response to a call.
 const maxCallAnswerSize = 1 << 20
 
 // Answer is the response to a call.
@@ -20,9 +18,9 @@
 	Body   []byte
 }
 
-// Call sends a request that this program itself generates and reads the response, whose
-// body is cut off after 1 MiB. The connection is closed when ctx ends. After an error the
-// upstream may have processed the request.
+// Call sends a request that this program itself generates and reads the response. A body
+// over 1 MiB, or over what is left of pool.Memory, is an error. The connection is closed
+// when ctx ends. After an error the upstream may have processed the request.
 func (pool *Pool) Call(ctx context.Context, key Key, request *http.Request, body []byte) (Answer, error) {
 	conn, err := pool.Get(ctx, key, 0)
 	if err != nil {
@@ -30,7 +28,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	defer stop()
-	answer, err := conn.call(request, body)
+	reservation, release := pool.Memory.Reserve()
+	defer release()
+	answer, err := conn.call(request, body, reservation)
 	if err != nil {
 		pool.drop(key, conn)
 		return Answer{}, err
@@ -41,7 +41,7 @@
 
 // call writes a request and reads the response. After an error the connection must be
 // closed.
-func (conn *Conn) call(request *http.Request, body []byte) (Answer, error) {
+func (conn *Conn) call(request *http.Request, body []byte, reservation *Reservation) (Answer, error) {
 	head := []byte(request.Method + " " + request.URL.RequestURI() + " HTTP/1.1\r\nHost: " + request.Host + "\r\n")
 	for name, values := range request.Header {
 		for _, value := range values {
@@ -58,7 +58,7 @@
 	if err != nil {
 		return Answer{}, err
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxCallAnswerSize))
+	content, err := ReadAll(response.Body, maxCallAnswerSize, reservation)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "read answer")
 	}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -47,8 +47,16 @@
 	bodyWritten chan error
 	// broken is set if the connection must not be used for another request.
 	broken bool
+	// responseRead is set once the last response was read to its end.
+	responseRead bool
+	// requests is the number of requests that were sent.
+	requests int
 }
 
+// Reused reports whether the last request was not the first one on the connection. Only
+// then may a response arrive that belongs to an earlier request.
+func (conn *Conn) Reused() bool { return conn.requests > 1 }
+
 // SetUserTimeout sets TCP_USER_TIMEOUT on a socket of a client or a server, so that the
 // connection is closed if the peer does not acknowledge data. It fits the Control fields
 // of net.Dialer and net.ListenConfig.
@@ -104,7 +112,8 @@
 // Send writes a request. It returns the number of bytes that may have been sent; a body of
 // largeBodySize or more counts in full and is still being written when Send returns.
 func (conn *Conn) Send(head []byte, body []byte) (int, error) {
-	conn.bodyWritten = nil
+	conn.bodyWritten, conn.responseRead = nil, false
+	conn.requests++
 	if len(body) < largeBodySize {
 		sent, err := conn.Write(append(head, body...))
 		if err != nil {
@@ -126,20 +135,23 @@
 }
 
 // ReadResponse reads the head of the response to a request with the given method. It skips
-// informational responses other than 101. The body must be read to its end before the next
-// request.
+// up to maxInformational informational responses other than 101. The body must be read to
+// its end before the next request. It returns a *BoundError if the head is over a bound.
 func (conn *Conn) ReadResponse(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
+	for range maxInformational + 1 {
+		response, err := conn.readHead(method)
 		if err != nil {
 			conn.broken = true
 			return nil, errors.Wrap(err, "read answer")
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			conn.trackEnd(response)
 			conn.setIdleUntil(response)
 			return response, nil
 		}
 	}
+	conn.broken = true
+	return nil, NewBoundError("head", "informational responses", maxInformational)
 }
 
 // setIdleUntil sets idleUntil from the headers of a response, or broken if the upstream
@@ -162,7 +174,7 @@
 // reusable reports whether the connection may carry another request: the last response was
 // read to its end with no data after it, and the last request was written completely.
 func (conn *Conn) reusable() bool {
-	if conn.broken || conn.reader.Buffered() > 0 {
+	if conn.broken || !conn.responseRead || conn.reader.Buffered() > 0 {
 		return false
 	}
 	if conn.bodyWritten == nil {
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -30,6 +30,9 @@
 
 // Pool holds idle connections to upstreams for reuse. The zero value is ready to use.
 type Pool struct {
+	// Memory limits the bodies of responses that are held at the same time.
+	Memory Memory
+
 	// lock is table 3 of the lock order.
 	lock      sync.Mutex
 	upstreams map[Key]*upstreamConns
@@ -55,6 +58,19 @@
 		}
 		pool.drop(key, conn)
 	}
+	return pool.dialCounted(ctx, key)
+}
+
+// Dial returns a new connection to an upstream, which counts as open.
+func (pool *Pool) Dial(ctx context.Context, key Key) (*Conn, error) {
+	pool.lock.Lock()
+	pool.countNew(key)
+	pool.lock.Unlock()
+	return pool.dialCounted(ctx, key)
+}
+
+// dialCounted opens a connection that countNew has counted.
+func (pool *Pool) dialCounted(ctx context.Context, key Key) (*Conn, error) {
 	conn, err := dial(ctx, key.Address)
 	if err != nil {
 		pool.drop(key, nil)
@@ -63,11 +79,15 @@
 	return conn, nil
 }
 
-// acquire removes an idle connection from the pool and returns it. If there is none, it
-// counts a new connection and returns true, and the caller must dial it.
-func (pool *Pool) acquire(key Key, limit int) (*Conn, bool, error) {
-	pool.lock.Lock()
-	defer pool.lock.Unlock()
+// countNew counts a new connection to an upstream. The caller holds the lock.
+func (pool *Pool) countNew(key Key) {
+	conns := pool.conns(key)
+	conns.open++
+	pool.dialled++
+}
+
+// conns returns the connections to an upstream. The caller holds the lock.
+func (pool *Pool) conns(key Key) *upstreamConns {
 	if pool.upstreams == nil {
 		pool.upstreams = make(map[Key]*upstreamConns)
 	}
@@ -76,6 +96,15 @@
 		conns = &upstreamConns{}
 		pool.upstreams[key] = conns
 	}
+	return conns
+}
+
+// acquire removes an idle connection from the pool and returns it. If there is none, it
+// counts a new connection and returns true, and the caller must dial it.
+func (pool *Pool) acquire(key Key, limit int) (*Conn, bool, error) {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	conns := pool.conns(key)
 	if last := len(conns.idle) - 1; last >= 0 {
 		conn := conns.idle[last]
 		conns.idle = conns.idle[:last]
@@ -84,8 +113,7 @@
 	if limit > 0 && conns.open >= limit {
 		return nil, false, ErrExhausted
 	}
-	conns.open++
-	pool.dialled++
+	pool.countNew(key)
 	return nil, true, nil
 }
 
@@ -146,6 +174,24 @@
 	}
 }
 
+// CloseIdle closes the idle connections to an upstream.
+func (pool *Pool) CloseIdle(key Key) {
+	pool.lock.Lock()
+	defer pool.lock.Unlock()
+	conns := pool.upstreams[key]
+	if conns == nil {
+		return
+	}
+	for _, conn := range conns.idle {
+		conn.Close()
+		conns.open--
+	}
+	conns.idle = nil
+	if conns.open <= 0 {
+		delete(pool.upstreams, key)
+	}
+}
+
 // Close closes all idle connections. Connections in use are closed when they are returned
 // with Put or Drop.
 func (pool *Pool) Close() {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,26 +1,26 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync/atomic"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
 const (
-	dialTimeout = time.Second
-	// idleTimeout bounds the time that a connection stays open unused, since an unused
-	// connection can fail without notice.
-	idleTimeout = 5 * time.Second
+	// expiryInterval is the time between two searches for connections that were idle for
+	// too long.
+	expiryInterval = time.Second
 	// firstByteTimeout bounds the wait for the response headers of an engine, and then
 	// the wait for the first token. It is a multiple of the 0.37 s within which 95 % of
 	// the first tokens arrive at the design load.
@@ -31,10 +31,14 @@
 	// serviceTimeout bounds the wait for the response headers of a plain service, and
 	// then the time without data. A service may need longer than an engine needs for
 	// its first token.
-	serviceTimeout     = 30 * time.Second
-	maxIdlePerUpstream = 64
+	serviceTimeout = 30 * time.Second
 )
 
+// attemptHeader names the attempt in a request. An upstream that names it in the response
+// as well gets more than one request on a connection: a late second copy of a response can
+// be told from the response that is due only by that name.
+const attemptHeader = "X-Attempt"
+
 // CallError states why a call has no complete answer and whether the upstream ran it.
 type CallError struct {
 	Outcome core.Outcome
@@ -59,82 +63,151 @@
 // Client sends orders and calls to upstreams. Use NewClient to create one; the zero value
 // is not usable.
 type Client struct {
-	// pooled reuses connections. It is used for requests that may be repeated.
-	pooled *http.Client
-	// unpooled opens a connection for each request. It is used for calls that may not be
-	// repeated, and for probes.
-	unpooled *http.Client
-	health   healthTracker
+	// conns holds the connections that are used again.
+	conns  *h1.Pool
+	health healthTracker
 }
 
 // NewClient returns a client and a function that closes its idle connections.
 func NewClient() (*Client, func()) {
-	pooled := newTransport(firstByteTimeout)
-	unpooled := newTransport(serviceTimeout)
-	unpooled.DisableKeepAlives = true
-	client := &Client{
-		pooled:   &http.Client{Transport: pooled, CheckRedirect: noRedirect},
-		unpooled: &http.Client{Transport: unpooled, CheckRedirect: noRedirect},
-	}
+	client := &Client{conns: &h1.Pool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { client.closeExpired(ctx) })
 	return client, func() {
-		pooled.CloseIdleConnections()
-		unpooled.CloseIdleConnections()
+		cancel()
+		running.Wait()
+		client.conns.Close()
 	}
 }
 
-func newTransport(headTimeout time.Duration) *http.Transport {
-	return &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout:       idleTimeout,
-		MaxIdleConnsPerHost:   maxIdlePerUpstream,
-		ResponseHeaderTimeout: headTimeout,
-		DisableCompression:    true,
+// closeExpired closes, until ctx ends, the connections that were idle for too long.
+func (client *Client) closeExpired(ctx context.Context) {
+	ticker := time.NewTicker(expiryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			client.conns.CloseExpired(now)
+		}
 	}
 }
 
-// noRedirect makes the HTTP client return a redirect as the response, since following it
-// would run the call a second time.
-func noRedirect(*http.Request, []*http.Request) error {
-	return http.ErrUseLastResponse
+// outgoing is one request to an upstream.
+type outgoing struct {
+	address string
+	method  string
+	// target is the request target: the path, and the query if there is one.
+	target  string
+	headers []core.Header
+	body    []byte
+	// attempt is the attempt that the response must name if the connection was used
+	// before. It is empty for orders and probes, which have connections of their own.
+	attempt core.AttemptID
+	// headTimeout bounds the wait for the head of the response.
+	headTimeout time.Duration
 }
 
-// onceReader hides the concrete type of a request body, so that net/http cannot rewind it
-// and send the request again.
-type onceReader struct {
-	io.Reader
+// head returns the request line and the headers, or an error if the method, the target or a
+// header is invalid.
+func (request *outgoing) head() ([]byte, error) {
+	target, err := url.Parse("http://" + request.address + request.target)
+	if err != nil {
+		return nil, errors.Wrap(err, "parse request target")
+	}
+	if strings.ContainsFunc(request.method, isSpaceOrControl) {
+		return nil, errors.Errorf("invalid method %q", request.method)
+	}
+	head := []byte(request.method + " " + target.RequestURI() + " HTTP/1.1\r\nHost: " + request.address + "\r\n")
+	for _, header := range request.headers {
+		if strings.ContainsAny(header.Name+header.Value, "\r\n\x00") {
+			return nil, errors.Errorf("invalid header %q", header.Name)
+		}
+		head = append(head, header.Name+": "+header.Value+"\r\n"...)
+	}
+	if request.attempt == "" {
+		head = append(head, "Connection: close\r\n"...)
+	}
+	if len(request.body) > 0 || request.method == http.MethodPost || request.method == http.MethodPut {
+		head = append(head, "Content-Length: "+strconv.Itoa(len(request.body))+"\r\n"...)
+	}
+	return append(head, "\r\n"...), nil
 }
 
-// send sends one request and returns the response. If unpooled is set, it opens a new
-// connection. It returns a *CallError with the outcome core.NotRun if no part of the
-// request was written, and core.Unknown otherwise.
-func (client *Client) send(ctx context.Context, unpooled bool, method, url string, body []byte, headers []core.Header) (*http.Response, error) {
-	var written atomic.Bool
-	trace := &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { written.Store(true) },
-		WroteHeaders:     func() { written.Store(true) },
-	}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, onceReader{bytes.NewReader(body)})
+func isSpaceOrControl(r rune) bool { return r <= ' ' || r == 0x7f }
+
+// send sends one request and returns the response, whose body the caller must close. The
+// connection is closed when ctx ends. It returns a *CallError with the outcome core.NotRun
+// if no part of the request was written, and core.Unknown otherwise.
+func (client *Client) send(ctx context.Context, request outgoing) (*http.Response, error) {
+	head, err := request.head()
 	if err != nil {
 		return nil, &CallError{Outcome: core.NotRun, Code: core.CodeBadRequest, Err: errors.Wrap(err, "make request")}
 	}
-	request.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		request.Body = http.NoBody
+	key := h1.Key{Address: request.address}
+	conn, err := client.connect(ctx, key, request.attempt != "")
+	if err != nil {
+		return nil, &CallError{Outcome: core.NotRun, Code: core.CodeUpstreamFailed, Lost: true, Err: err}
 	}
-	for _, header := range headers {
-		request.Header.Add(header.Name, header.Value)
+	watch := context.AfterFunc(ctx, func() { conn.Close() })
+	slow := time.AfterFunc(request.headTimeout, func() { conn.Close() })
+	sent, err := conn.Send(head, request.body)
+	var response *http.Response
+	if err == nil {
+		response, err = conn.ReadResponse(request.method) //nolint:bodyclose // closed below or by the caller
 	}
-	httpClient := client.pooled
-	if unpooled {
-		httpClient = client.unpooled
+	if err == nil && !slow.Stop() {
+		err = errors.Errorf("no head of a response within %v", request.headTimeout)
 	}
-	response, err := httpClient.Do(request)
-	if err == nil {
-		return response, nil
+	if err == nil && conn.Reused() && response.Header.Get(attemptHeader) != string(request.attempt) {
+		err = errors.New("the response on a reused connection names another attempt or none")
+	}
+	if err != nil {
+		slow.Stop()
+		watch()
+		client.conns.Drop(key, conn)
+		failure := &CallError{Outcome: core.Unknown, Code: core.CodeUpstreamFailed, Lost: true, Err: err}
+		if sent == 0 {
+			failure.Outcome = core.NotRun
+		}
+		return nil, failure
 	}
-	failure := &CallError{Outcome: core.Unknown, Code: core.CodeUpstreamFailed, Lost: true, Err: err}
-	if !written.Load() {
-		failure.Outcome = core.NotRun
+	reusable := request.attempt != "" && response.Header.Get(attemptHeader) == string(request.attempt)
+	response.Body = &pooledBody{ReadCloser: response.Body, release: func() {
+		if watch() && reusable {
+			client.conns.Put(key, conn)
+		} else {
+			client.conns.Drop(key, conn)
+		}
+	}}
+	return response, nil
+}
+
+// connect returns a connection to an upstream: a new one unless reuse is set.
+func (client *Client) connect(ctx context.Context, key h1.Key, reuse bool) (*h1.Conn, error) {
+	open := client.conns.Dial
+	if reuse {
+		open = func(ctx context.Context, key h1.Key) (*h1.Conn, error) { return client.conns.Get(ctx, key, 0) }
 	}
-	return nil, failure
+	conn, err := open(ctx, key)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	return conn, nil
+}
+
+// pooledBody is the body of a response. Close releases its connection, which is closed
+// unless the body was read to its end.
+type pooledBody struct {
+	io.ReadCloser
+	once    sync.Once
+	release func()
+}
+
+// Close releases the connection.
+func (body *pooledBody) Close() error {
+	body.once.Do(body.release)
+	return nil
 }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -21,10 +22,13 @@
 	// and of a refusal.
 	maxResponseBytes = 64 << 10
 	// maxEventBytes bounds the size of one server-sent event.
-	maxEventBytes = 1 << 20
+	maxEventBytes = 64 << 10
 	// readBufferBytes is the size of the read buffer of one stream. Longer lines are
 	// read in several parts.
 	readBufferBytes = 16 << 10
+	// maxAnswerBytes bounds the body of the answer to a call. An engine or a service may
+	// send without end.
+	maxAnswerBytes = 64 << 20
 	// maxChunkBytes is the size from which collected events are passed on even if more
 	// data is buffered.
 	maxChunkBytes = 32 << 10
@@ -86,7 +90,8 @@
 		return orderResponse{}, errors.Wrap(err, "encode order")
 	}
 	headers := []core.Header{{Name: "Content-Type", Value: "application/json"}}
-	response, err := client.send(ctx, false, http.MethodPost, "http://"+address+"/v1/adapters/"+action, body, headers)
+	request := outgoing{address: address, method: http.MethodPost, target: "/v1/adapters/" + action, headers: headers, body: body, headTimeout: firstByteTimeout}
+	response, err := client.send(ctx, request)
 	if err != nil {
 		return orderResponse{}, err
 	}
@@ -110,7 +115,8 @@
 // Cancel cancels an attempt at an engine. It returns nil once the engine has confirmed
 // that the attempt ended.
 func (client *Client) Cancel(ctx context.Context, address string, attempt core.AttemptID) error {
-	response, err := client.send(ctx, false, http.MethodDelete, "http://"+address+"/v1/attempts/"+string(attempt), nil, nil)
+	request := outgoing{address: address, method: http.MethodDelete, target: "/v1/attempts/" + string(attempt), headTimeout: firstByteTimeout}
+	response, err := client.send(ctx, request)
 	if err != nil {
 		return errors.Wrap(err, "cancel attempt")
 	}
@@ -140,7 +146,11 @@
 func (client *Client) run(ctx context.Context, address string, call core.Call, token core.FencingToken, send func(core.Chunk) error) (core.Tokens, core.Incarnation, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	response, err := client.send(ctx, false, call.Method, "http://"+address+call.Path, call.Body, runHeaders(call, token))
+	request := outgoing{
+		address: address, method: call.Method, target: call.Path, headers: runHeaders(call, token), body: call.Body,
+		attempt: call.Attempt, headTimeout: firstByteTimeout,
+	}
+	response, err := client.send(ctx, request)
 	if err != nil {
 		return 0, "", err
 	}
@@ -169,7 +179,7 @@
 func runHeaders(call core.Call, token core.FencingToken) []core.Header {
 	return []core.Header{
 		{Name: "Content-Type", Value: "application/json"},
-		{Name: "X-Attempt", Value: string(call.Attempt)},
+		{Name: attemptHeader, Value: string(call.Attempt)},
 		{Name: "X-Adapter", Value: string(call.Pin.Adapter)},
 		{Name: "X-Version", Value: string(call.Pin.Version)},
 		{Name: "X-Priority", Value: strconv.Itoa(int(call.Priority))},
@@ -200,6 +210,11 @@
 	return failure
 }
 
+// newBoundError returns the error of an answer with a part over its bound.
+func newBoundError(part string, limit int64) *CallError {
+	return &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: h1.NewBoundError(part, "bytes", limit)}
+}
+
 var (
 	dataPrefix = []byte("data: ")
 	endMarker  = []byte("data: [DONE]")
@@ -211,6 +226,7 @@
 // tokens of the last complete event.
 func relayEvents(body io.Reader, call core.Call, head *core.Head, idleTimer *time.Timer, send func(core.Chunk) error) (core.Tokens, error) {
 	relay := &eventRelay{call: call, head: head, offset: call.ResumeOffset, send: send}
+	total := 0
 	reader := readerPool.Get().(*bufio.Reader)
 	reader.Reset(body)
 	defer func() {
@@ -219,6 +235,9 @@
 	}()
 	for {
 		line, err := reader.ReadSlice('\n')
+		if total += len(line); total > maxAnswerBytes {
+			return relay.offset, newBoundError("body", maxAnswerBytes)
+		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			// Events that were complete before the stream broke off belong to the answer.
 			if failure := relay.flush(); failure != nil {
@@ -235,10 +254,10 @@
 		if reader.Buffered() > 0 && len(relay.complete) < maxChunkBytes {
 			continue
 		}
-		idleTimer.Reset(betweenTokensTimeout)
 		if len(relay.complete) == 0 {
-			continue
+			continue // lines without a token are no progress
 		}
+		idleTimer.Reset(betweenTokensTimeout)
 		if err := relay.flush(); err != nil {
 			return relay.offset, err
 		}
@@ -271,7 +290,7 @@
 	relay.longLine = !complete
 	relay.partial = append(relay.partial, line...)
 	if len(relay.partial) > maxEventBytes {
-		return &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Err: errors.New("event over the limit")}
+		return newBoundError("event", maxEventBytes)
 	}
 	if !blank {
 		return nil
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -93,15 +94,15 @@
 
 // recordResult records the result of a call for the health of its upstream. Any result
 // other than a lost connection counts as a success. A lost connection counts as a failure
-// unless ctx has ended; it also closes the idle pooled connections, since all of them may
-// have failed without notice.
+// unless ctx has ended; it also closes the idle connections to the upstream, since all of them
+// may have failed without notice.
 func (client *Client) recordResult(ctx context.Context, address string, failure *CallError) {
 	switch {
 	case failure == nil || !failure.Lost:
 		client.health.recordSuccess(address)
 	case ctx.Err() == nil:
 		client.health.recordFailure(address, failure.Crashed, time.Now())
-		client.pooled.CloseIdleConnections()
+		client.conns.CloseIdle(h1.Key{Address: address})
 	}
 }
 
@@ -119,11 +120,8 @@
 		}
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
-	if err != nil {
-		return false
-	}
-	response, err := client.unpooled.Do(request)
+	request := outgoing{address: address, method: http.MethodGet, target: "/v1/status", headTimeout: probeTimeout}
+	response, err := client.send(ctx, request)
 	if err != nil {
 		return closedByPeer(err)
 	}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,8 +12,13 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
-// serviceChunkBytes is the maximum size of one chunk of a service's answer.
-const serviceChunkBytes = 32 << 10
+const (
+	// serviceChunkBytes is the maximum size of one chunk of a service's answer.
+	serviceChunkBytes = 32 << 10
+	// progressBytes is the number of bytes of a service's answer that count as progress. An
+	// answer with less of them, and no complete event, within serviceTimeout has stalled.
+	progressBytes = 1 << 10
+)
 
 // hopByHopHeaders apply to a single connection and must not be forwarded.
 var hopByHopHeaders = map[string]bool{
@@ -62,11 +68,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	headers := append([]core.Header{}, call.Headers...)
-	headers = append(headers, core.Header{Name: "X-Attempt", Value: string(call.Attempt)})
+	headers = append(headers, core.Header{Name: attemptHeader, Value: string(call.Attempt)})
 	if call.IdempotencyKey != "" {
 		headers = append(headers, core.Header{Name: "Idempotency-Key", Value: string(call.IdempotencyKey)})
 	}
-	response, err := client.send(ctx, !call.Repeatable, call.Method, "http://"+address+call.Path, call.Body, headers)
+	request := outgoing{
+		address: address, method: call.Method, target: call.Path, headers: headers, body: call.Body, headTimeout: serviceTimeout,
+	}
+	if call.Repeatable {
+		request.attempt = call.Attempt
+	}
+	response, err := client.send(ctx, request)
 	if err != nil {
 		return err
 	}
@@ -82,9 +94,15 @@
 // passed on.
 func relayBody(body io.Reader, attempt core.AttemptID, head *core.Head, idleTimer *time.Timer, send func(core.Chunk) error) error {
 	buffer := make([]byte, serviceChunkBytes)
+	total, progress := 0, answerProgress{}
 	for {
 		count, err := body.Read(buffer)
-		idleTimer.Reset(serviceTimeout)
+		if total += count; total > maxAnswerBytes {
+			return newBoundError("body", maxAnswerBytes)
+		}
+		if progress.advance(buffer[:count]) {
+			idleTimer.Reset(serviceTimeout)
+		}
 		if count > 0 || head != nil {
 			chunk := core.Chunk{Attempt: attempt, Head: head, Data: append([]byte(nil), buffer[:count]...)}
 			if err := send(chunk); err != nil {
@@ -100,3 +118,27 @@
 		}
 	}
 }
+
+// answerProgress tells an answer that proceeds from one that sends a byte now and then. The
+// zero value is at the start of an answer.
+type answerProgress struct {
+	// pending is the number of bytes since the last progress, and last the last byte.
+	pending int
+	last    byte
+}
+
+// advance adds a part of the answer. It returns true once progressBytes have arrived since
+// the last progress, or the empty line that ends a server-sent event.
+func (progress *answerProgress) advance(part []byte) bool {
+	if len(part) == 0 {
+		return false
+	}
+	progress.pending += len(part)
+	eventEnds := bytes.Contains(part, []byte("\n\n")) || progress.last == '\n' && part[0] == '\n'
+	progress.last = part[len(part)-1]
+	if progress.pending < progressBytes && !eventEnds {
+		return false
+	}
+	progress.pending = 0
+	return true
+}
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -198,6 +198,7 @@
 func (engine *Engine) stream(writer http.ResponseWriter, request *http.Request, current *attempt) {
 	header := writer.Header()
 	header.Set("Content-Type", "text/event-stream")
+	header.Set("X-Attempt", string(current.id))
 	header.Set("X-Engine", string(engine.settings.Upstream))
 	header.Set("X-Incarnation", string(engine.incarnation))
 	header.Set("X-Adapter", string(current.av.Adapter))
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -159,6 +159,7 @@
 	if faults.FailCalls > 0 {
 		status = http.StatusInternalServerError
 	}
+	writer.Header().Set("X-Attempt", request.Header.Get("X-Attempt"))
 	writeJSON(writer, status, Answer{Service: service.settings.Service, Call: call, Key: key, Run: run, Body: string(body)})
 }
 
