Mend decisions that reading had found wrong, each with a scripted case

An older report cleared a newer silence of an upstream; a clock that was set back and passed again added request tokens twice; IPv6 hosts matched no route; a route without a name passed the check; a change of the budget's window kept the number of a bucket of the old length; a crash shortened a longer ejection; each accepted status check of an unload started its time limit again; ledger.CrashesToConvict had no use.

CrashesToConvict is removed, package quarantine holds the threshold.

--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -54,7 +54,7 @@
 
 // recordFailure counts a failure. At failuresToEject consecutive failures the address is
 // ejected for minEjection; each further failure doubles the time, up to maxEjection. A
-// crash ejects the address for crashEjection at once.
+// crash ejects the address for crashEjection at least, at once.
 func (tracker *healthTracker) recordFailure(address string, crashed bool, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -67,7 +67,7 @@
 		tracker.entries[address] = entry
 	}
 	if crashed {
-		entry.ejectedUntil = now.Add(crashEjection)
+		entry.ejectedUntil = laterOf(entry.ejectedUntil, now.Add(crashEjection))
 	}
 	if now.Before(entry.ejectedUntil) {
 		return // failures during an ejection are not counted, since their calls were sent before it
@@ -78,6 +78,13 @@
 	}
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (tracker *healthTracker) isEjected(address string, now time.Time) bool {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
--- a/pkg/core/core_test.go
+++ b/pkg/core/core_test.go
@@ -18,6 +18,8 @@
 			return checkInput(t, line.Input, CheckPlans)
 		case "grants":
 			return checkInput(t, line.Input, CheckGrants)
+		case "routes":
+			return checkInput(t, line.Input, func(table RouteTable) []ValidationError { return table.Check() })
 		case "announcement":
 			return checkInput(t, line.Input, Announcement.Check)
 		default:
--- a/pkg/core/routecheck.go
+++ b/pkg/core/routecheck.go
@@ -6,8 +6,8 @@
 )
 
 // Check returns all faults of a route table, and nil if it is valid. Faults are a missing
-// number, a service without a name or with a duplicate one, a route with an empty host, an
-// invalid prefix, kind, time limit or number of attempts, a target that is not a service of
+// number, a service without a name or with a duplicate one, a route without a name or host,
+// with an invalid prefix, kind, time limit or number of attempts, a target that is not a service of
 // the table, a negative weight, weights whose sum is 0, and two routes with the same host
 // and prefix.
 func (table *RouteTable) Check() []ValidationError {
@@ -41,6 +41,7 @@
 
 func (checker *routeChecker) checkRoute(index int, route *Route) {
 	place := fmt.Sprintf("Routes[%d]", index)
+	checker.addIf(route.Name == "", place+".Name", "is empty")
 	checker.addIf(route.Host == "", place+".Host", "is empty")
 	validPrefix := strings.HasPrefix(route.Prefix, "/") && strings.HasSuffix(route.Prefix, "/")
 	checker.addIf(!validPrefix, place+".Prefix", fmt.Sprintf("%q does not begin and end with a slash", route.Prefix))
--- a/pkg/policy/admission/limiter.go
+++ b/pkg/policy/admission/limiter.go
@@ -54,14 +54,13 @@
 }
 
 // refill adds the tokens for the time since the last update. If the clock went
-// backwards, it adds none.
+// backwards, it adds none until the clock has passed that time again.
 func (entry *usage) refill(plan core.Plan, now time.Time) {
-	elapsed := now.Sub(entry.updated).Seconds()
-	if elapsed > 0 {
+	if elapsed := now.Sub(entry.updated).Seconds(); elapsed > 0 {
 		entry.tokens += elapsed * float64(plan.MaxRequestsPerSecond)
+		entry.updated = now
 	}
 	entry.tokens = min(entry.tokens, bucketCapacity(plan))
-	entry.updated = now
 }
 
 // bucketCapacity returns the number of requests that the rate allows in one second,
--- a/pkg/policy/membership/table.go
+++ b/pkg/policy/membership/table.go
@@ -96,8 +96,8 @@
 // Merge merges the flags Leaving, Gone and Silent of an upstream's state that another VM
 // reported. It has no effect on an unknown upstream or if the report is about another
 // process of the upstream. A report that is based on an older announcement than the known
-// one is applied only if it sets Leaving or Gone; it then overwrites Silent, too. Merge
-// returns whether anything changed.
+// one is applied only if it sets Leaving or Gone, and does not change Silent. Merge returns
+// whether anything changed.
 func (table *Table) Merge(instance core.Instance) bool {
 	current := table.entries[instance.Upstream]
 	if current == nil || current.instance.Born != instance.Born || current.instance.Sequence > instance.Sequence && !instance.Gone && !instance.Leaving {
@@ -106,7 +106,9 @@
 	before := current.instance
 	current.instance.Leaving = before.Leaving || instance.Leaving
 	current.instance.Gone = before.Gone || instance.Gone
-	current.instance.Silent = instance.Silent
+	if instance.Sequence >= current.instance.Sequence {
+		current.instance.Silent = instance.Silent
+	}
 	return !equalForSenders(before, current.instance)
 }
 
--- a/pkg/policy/residency/engine.go
+++ b/pkg/policy/residency/engine.go
@@ -24,9 +24,8 @@
 type weightCopy struct {
 	phase    phase
 	revision core.Revision
-	// phaseStart is the time at which the load was accepted, or at which an order or a
-	// status check of the unload was last accepted. nextCheck is the time of the next
-	// status check.
+	// phaseStart is the time at which the load or the unload was accepted, and nextCheck
+	// the time of the next status check.
 	phaseStart, nextCheck time.Duration
 	// lastRequested is the time of the last known request for the copy.
 	lastRequested time.Duration
--- a/pkg/policy/residency/plan.go
+++ b/pkg/policy/residency/plan.go
@@ -288,7 +288,10 @@
 			engine.acceptedOrders++
 		}
 		if held := engine.copies[order.Weights]; held != nil {
-			held.phase, held.phaseStart, held.nextCheck = unloading, now, now+table.timing.Check
+			if !order.Check {
+				held.phaseStart = now
+			}
+			held.phase, held.nextCheck = unloading, now+table.timing.Check
 		}
 		return
 	}
--- a/pkg/policy/retry/budget.go
+++ b/pkg/policy/retry/budget.go
@@ -29,10 +29,19 @@
 	current  int64
 	requests [bucketCount]int
 	retries  [bucketCount]int
+	// windowChanged is set until the counts have been moved to buckets of the new length.
+	windowChanged bool
 }
 
-// SetLimits replaces the limits.
-func (budget *Budget) SetLimits(limits Limits) { budget.limits = limits }
+// SetLimits replaces the limits. After a change of the window the retries that were counted
+// count for the whole new window, since their times within the old one are not known, and
+// the requests for one bucket.
+func (budget *Budget) SetLimits(limits Limits) {
+	if budget.limits.Window > 0 && budget.limits.Window != limits.Window {
+		budget.windowChanged = true
+	}
+	budget.limits = limits
+}
 
 // AddRequest counts one request of a caller.
 func (budget *Budget) AddRequest(now time.Duration) {
@@ -57,12 +66,28 @@
 	return true
 }
 
+// moveCounts makes bucket the newest bucket. It moves the retries to it and the requests to
+// the oldest bucket of the window.
+func (budget *Budget) moveCounts(bucket int64) {
+	requests, retries := 0, 0
+	for i := range bucketCount {
+		requests += budget.requests[i]
+		retries += budget.retries[i]
+	}
+	*budget = Budget{limits: budget.limits, current: bucket}
+	budget.requests[(bucket+1)%bucketCount] = requests
+	budget.retries[bucket%bucketCount] = retries
+}
+
 // advance moves the window to the given time and clears the buckets that enter it.
 func (budget *Budget) advance(now time.Duration) {
 	if budget.limits.Window <= 0 {
 		return
 	}
 	bucket := int64(now / (budget.limits.Window / bucketCount))
+	if budget.windowChanged {
+		budget.moveCounts(bucket)
+	}
 	for ; budget.current < bucket && bucket-budget.current <= bucketCount; budget.current++ {
 		budget.requests[(budget.current+1)%bucketCount] = 0
 		budget.retries[(budget.current+1)%bucketCount] = 0
--- a/pkg/policy/retry/script_test.go
+++ b/pkg/policy/retry/script_test.go
@@ -23,7 +23,11 @@
 			case "may":
 				return evaluateAllowed(data.Input)
 			case "limits":
-				budget.SetLimits(Limits{Ratio: number(data, "ratio"), Extra: number(data, "extra"), Window: 10 * time.Second})
+				window := 10 * time.Second
+				if seconds := number(data, "window"); seconds > 0 {
+					window = time.Duration(seconds * float64(time.Second))
+				}
+				budget.SetLimits(Limits{Ratio: number(data, "ratio"), Extra: number(data, "extra"), Window: window})
 				return "ok\n"
 			case "requests":
 				for range int(number(data, "count")) {
--- a/pkg/policy/route/index.go
+++ b/pkg/policy/route/index.go
@@ -20,7 +20,7 @@
 	index := &Index{table: table, hosts: make(map[string]map[string]*core.Route)}
 	for i := range table.Routes {
 		route := &table.Routes[i]
-		host := strings.ToLower(route.Host)
+		host := normalizeHost(route.Host)
 		if index.hosts[host] == nil {
 			index.hosts[host] = make(map[string]*core.Route)
 		}
@@ -35,10 +35,7 @@
 // Match returns the route of the host with the longest prefix that matches the path, and
 // nil if there is none. The case of the host and a port after it are ignored.
 func (index *Index) Match(host, path string) *core.Route {
-	if name, _, found := strings.Cut(host, ":"); found {
-		host = name
-	}
-	prefixes := index.hosts[strings.ToLower(host)]
+	prefixes := index.hosts[normalizeHost(host)]
 	for end := len(path); end > 0 && len(prefixes) > 0; {
 		slash := strings.LastIndexByte(path[:end], '/')
 		if slash < 0 {
@@ -52,6 +49,19 @@
 	return nil
 }
 
+// normalizeHost returns a host in lower case without a port. An IPv6 address loses its
+// brackets.
+func normalizeHost(host string) string {
+	if inner, found := strings.CutPrefix(host, "["); found {
+		if address, _, closed := strings.Cut(inner, "]"); closed {
+			host = address
+		}
+	} else if name, _, found := strings.Cut(host, ":"); found && strings.Count(host, ":") == 1 {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // SelectTarget selects a service of the route by a hash of the key. Over many keys, the
 // services are selected in proportion to their weights; the same key always selects the
 // same service of a given route.
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -205,10 +205,6 @@
 	ConvictionMillis int64
 }
 
-// CrashesToConvict is the number of crashes, counted once per upstream incarnation,
-// after which a fingerprint is refused.
-const CrashesToConvict = 2
-
 // Suspicion describes a fingerprint whose request was in flight when an upstream
 // crashed.
 type Suspicion struct {
