Use a mended disk again, drop lost control VMs, and mend further findings of reading

Measured: each new case failed before its change (auditor/scenarios, TestLostPeerIsDropped by reading, TestFailedSyncIsMarked, TestTooLarge, gateway/whole, entry/calls, caller/requests) and passes after it.

--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -216,6 +216,8 @@
 		deployment.setMode(vm, "")
 	case "fail":
 		deployment.disks[vm].failed = true
+	case "mend":
+		deployment.disks[vm].failed = false
 	case "wait":
 		duration, err := time.ParseDuration(words[1])
 		is.NoErr(err)
--- a/internal/auditor/probe.go
+++ b/internal/auditor/probe.go
@@ -33,11 +33,12 @@
 	wake(auditor.wakeProbe)
 }
 
-// probeFailed sends an empty batch to the failed VMs once every retryInterval, so that no
-// record waits for the timeout of a VM that still does not respond.
+// probeFailed sends an empty batch to the failed VMs, or to the own disk, once every
+// retryInterval, so that no record waits for the timeout of a VM that still does not
+// respond.
 func (auditor *Auditor) probeFailed() {
 	for {
-		failed := auditor.failedPeers()
+		failed := auditor.failed()
 		if len(failed) == 0 {
 			if !auditor.waitFor(auditor.wakeProbe, 0) {
 				return
@@ -55,23 +56,24 @@
 	}
 }
 
-// failedPeers returns the failed VMs in order, without this VM: its own disk is not probed
-// and stays excluded after a failure.
-func (auditor *Auditor) failedPeers() []core.VMID {
+// failed returns the failed VMs in order.
+func (auditor *Auditor) failed() []core.VMID {
 	auditor.mutex.Lock()
 	defer auditor.mutex.Unlock()
 	var result []core.VMID
 	for vm := range auditor.failedVMs {
-		if vm != auditor.options.Self.VM {
-			result = append(result, vm)
-		}
+		result = append(result, vm)
 	}
 	slices.Sort(result)
 	return result
 }
 
 func (auditor *Auditor) probeVM(vm core.VMID) {
-	if _, err := auditor.sendBatch(vm, nil, false); err != nil {
+	if vm == auditor.options.Self.VM {
+		if auditor.appendLocal(nil) != nil {
+			return
+		}
+	} else if _, err := auditor.sendBatch(vm, nil, false); err != nil {
 		return
 	}
 	auditor.mutex.Lock()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -30,7 +30,7 @@
 
 func (server *twoTokenServer) Serve(_ context.Context, request entry.Request, responder entry.Responder) core.End {
 	server.calls++
-	answer := entry.Answer{Request: "r", Attempt: "a", Config: 1}
+	answer := entry.Answer{Request: "r", Attempt: "a", Config: 1, Head: core.Head{Status: http.StatusOK}}
 	answer.Pin.AdapterVersion = core.AdapterVersion{Adapter: request.Wanted.Adapter, Version: "1"}
 	end := core.End{Whole: true, Outcome: core.Ran}
 	if err := responder.Head(answer); err != nil {
@@ -77,7 +77,11 @@
 	if key == "long" {
 		key = strings.Repeat("k", maxIdempotencyKey+1)
 	}
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: vm\r\nIdempotency-Key: %s\r\nContent-Length: %d\r\n\r\n%s", path, key, length, body)
+	header := "Idempotency-Key: " + key + "\r\n"
+	if data.HasArg("keyless") {
+		header = ""
+	}
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: vm\r\n%sContent-Length: %d\r\n\r\n%s", path, header, length, body)
 }
 
 // sendRequest sends the request to the address and returns the status and the body of the
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -97,7 +97,7 @@
 
 func (handler *Handler) serveService(writer http.ResponseWriter, request *http.Request) {
 	key := request.Header.Get("Idempotency-Key")
-	if !validIdempotencyKey(key) {
+	if _, present := request.Header["Idempotency-Key"]; present && !validIdempotencyKey(key) {
 		writeRefusal(writer, core.NewRefusal(core.CodeBadRequest, "the Idempotency-Key is not 1 to 256 printable ASCII characters"))
 		return
 	}
@@ -146,11 +146,10 @@
 	return core.KeyHash(hex.EncodeToString(hash[:]))
 }
 
-// validIdempotencyKey reports whether a key consists of at most maxIdempotencyKey
-// printable ASCII characters. It accepts an empty key; whether a call needs one is
-// decided later.
+// validIdempotencyKey reports whether a key consists of 1 to maxIdempotencyKey printable
+// ASCII characters.
 func validIdempotencyKey(key string) bool {
-	if len(key) > maxIdempotencyKey {
+	if key == "" || len(key) > maxIdempotencyKey {
 		return false
 	}
 	for _, char := range []byte(key) {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -113,12 +113,7 @@
 
 // addPeers adds the control VMs that another one knows.
 func (control *Control) addPeers(result *wire.HoldResult) {
-	changed := false
-	now := clock.Now()
-	for _, message := range result.GetControlVms() {
-		changed = control.peers.recordContact(now, parsePeer(message)) || changed
-	}
-	if changed {
+	if control.peers.recordMentions(clock.Now(), result.GetControlVms()) {
 		control.hub.publishState()
 	}
 }
@@ -132,7 +127,7 @@
 		control.options.Logger.Info("A control VM joined.", "control", vm, "zone", hold.GetZone())
 		control.hub.publishState()
 	}
-	result := &wire.HoldResult{ControlVms: peerMessages(control.peers.All())}
+	result := &wire.HoldResult{ControlVms: control.peers.messages(now)}
 	replica, ok := control.options.Host.Replica(0)
 	if !ok {
 		return result
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -119,8 +119,8 @@
 // interruption.
 const maxContactGap = 3 * time.Second
 
-// recordContact records a contact with a control VM or a mention of it by another one. It
-// returns true if the VM was unknown.
+// recordContact records a contact with a control VM at the time now, which is in the past
+// if another VM reports it. It returns true if the VM was unknown.
 func (peers *Peers) recordContact(now time.Duration, heard Peer) bool {
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
@@ -129,7 +129,7 @@
 		peers.peers[heard.VM] = &knownPeer{Peer: heard, lastHeard: now, heardSince: now}
 		return true
 	}
-	if known.lastHeard == alwaysHeard {
+	if known.lastHeard == alwaysHeard || known.lastHeard >= now {
 		return false
 	}
 	if now-known.lastHeard > maxContactGap {
@@ -161,14 +161,44 @@
 	return all
 }
 
-func peerMessages(peers []Peer) []*wire.ControlVm {
+// messages returns the known control VMs, sorted by id, with the times since their last
+// contacts.
+func (peers *Peers) messages(now time.Duration) []*wire.ControlVm {
 	var messages []*wire.ControlVm
-	for _, peer := range peers {
-		messages = append(messages, &wire.ControlVm{Vm: string(peer.VM), Zone: string(peer.Zone), OperatorAddress: peer.OperatorAddress})
+	for _, peer := range peers.All() {
+		messages = append(messages, &wire.ControlVm{
+			Vm: string(peer.VM), Zone: string(peer.Zone), OperatorAddress: peer.OperatorAddress,
+			HeardMillisAgo: uint32(peers.heardAgo(now, peer.VM).Milliseconds()),
+		})
 	}
 	return messages
 }
 
+// heardAgo returns the time since the last contact with a control VM, and zero for this VM
+// and for an unknown one.
+func (peers *Peers) heardAgo(now time.Duration, vm core.VMID) time.Duration {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	known := peers.peers[vm]
+	if known == nil || known.lastHeard == alwaysHeard {
+		return 0
+	}
+	return max(0, now-known.lastHeard)
+}
+
+// recordMentions records the contacts that another control VM reports. It returns true if
+// one of the VMs was unknown. A VM whose reported contact is older than peerTTL is not added.
+func (peers *Peers) recordMentions(now time.Duration, messages []*wire.ControlVm) bool {
+	changed := false
+	for _, message := range messages {
+		ago := time.Duration(message.GetHeardMillisAgo()) * time.Millisecond
+		if ago < peerTTL {
+			changed = peers.recordContact(now-ago, parsePeer(message)) || changed
+		}
+	}
+	return changed
+}
+
 func parsePeer(message *wire.ControlVm) Peer {
 	return Peer{VM: core.VMID(message.GetVm()), Zone: core.ZoneID(message.GetZone()), OperatorAddress: message.GetOperatorAddress()}
 }
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -251,7 +251,7 @@
 // addState adds the replicated state, the control VMs and the number of entry VMs to an
 // event.
 func (control *Control) addState(event *wire.WatchEvent, subscriber *subscriber) {
-	event.ControlVms = peerMessages(control.peers.All())
+	event.ControlVms = control.peers.messages(clock.Now())
 	event.EntryVms = uint32(control.hub.countEntryVMs())
 	replica, ok := control.options.Host.Replica(0)
 	if !ok {
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -17,7 +17,7 @@
 // Refusals of calls that end without a Refuse action of the scheduler.
 var (
 	errWithdrawn        = core.NewRefusal(core.CodeNoUpstream, "the attempt was withdrawn by its entry VM")
-	errCallerLeft       = core.NewRefusal(core.CodeDeadlineExceeded, "the caller left before the call could be sent")
+	errCallerLeft       = core.NewRefusal(core.CodeCallerLeft, "the caller left before the call could be sent")
 	errDuplicateAttempt = &core.Refusal{Code: core.CodeInProgress, Outcome: core.Unknown, Message: "the attempt is already at this owner"}
 )
 
--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -90,7 +90,10 @@
 	if err == nil {
 		err = active.responder.Data(recorded.Body)
 	}
-	return core.End{Whole: err == nil, Outcome: core.Ran, Code: core.CodeStreamBroken}
+	if err != nil {
+		return core.End{Outcome: core.Ran, Code: core.CodeStreamBroken}
+	}
+	return core.End{Whole: true, Outcome: core.Ran}
 }
 
 // recordOutcome records the outcome of the call, and the answer if it is complete, in
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,6 +113,9 @@
 			break
 		}
 	}
+	if reason == "" {
+		reason = "the deadline passed before an upstream took the request"
+	}
 	call.answerFailure(ctx, reason)
 }
 
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -130,6 +130,14 @@
 	return "", placer.reason
 }
 
+// latePlacer is a placer that finds an engine only after the request has ended.
+type latePlacer struct{}
+
+func (latePlacer) Place(ctx context.Context, _ fleet.Query, _ bool, _ time.Duration) (core.UpstreamID, string) {
+	<-ctx.Done()
+	return "u0", ""
+}
+
 // memoryRecorder is a recorder that keeps its records in memory. StartWithin fails while
 // full is set.
 type memoryRecorder struct {
@@ -203,7 +211,7 @@
 	}
 	count, kind, attempts, requests := 3, "idempotent", 2, 1
 	records := &memoryRecorder{}
-	weights := ""
+	weights, patience := "", ""
 	var lines bytes.Buffer
 	options := Options{Dialect: testDialect{}, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
 	for _, arg := range data.CmdArgs {
@@ -216,6 +224,10 @@
 			kind = arg.Vals[0]
 		case "weights":
 			weights = arg.Vals[0]
+		case "patience":
+			patience = arg.Vals[0]
+		case "late":
+			options.Placer = latePlacer{}
 		case "place":
 			options.Placer = failingPlacer{strings.Join(arg.Vals, " ")}
 		case "log":
@@ -244,7 +256,7 @@
 	defer server.Close()
 	text := ""
 	for i := range requests {
-		text += sendRequest(server, fmt.Sprintf("r%d", i+1), weights)
+		text += sendRequest(server, fmt.Sprintf("r%d", i+1), weights, patience)
 	}
 	text += upstreams.sends()
 	server.Close() // the end of a send is recorded after its response was sent
@@ -279,11 +291,12 @@
 }
 
 // sendRequest sends a request to the gateway and returns the response.
-func sendRequest(server *httptest.Server, id, weights string) string {
+func sendRequest(server *httptest.Server, id, weights, patience string) string {
 	request, _ := http.NewRequest(http.MethodPost, server.URL+"/p/a%2Fb?q=1", strings.NewReader("body"))
 	request.Host = "h.example"
 	request.Header.Set("Id", id)
 	request.Header.Set("Weights", weights)
+	request.Header.Set("Patience", patience)
 	response, err := server.Client().Do(request)
 	if err != nil {
 		return "no answer\n"
--- a/pkg/core/outcome.go
+++ b/pkg/core/outcome.go
@@ -59,6 +59,7 @@
 	CodeOverloaded         RefusalCode = "overloaded"
 	CodeRateLimited        RefusalCode = "rate_limited"
 	CodeDeadlineExceeded   RefusalCode = "deadline"
+	CodeCallerLeft         RefusalCode = "caller_left"
 	CodeConvicted          RefusalCode = "request_convicted"
 	CodeConfigTooOld       RefusalCode = "config_too_old"
 	CodeNoConfig           RefusalCode = "no_config"
--- a/pkg/policy/attempt/decision.go
+++ b/pkg/policy/attempt/decision.go
@@ -90,6 +90,7 @@
 	core.CodeUnauthorized:     true,
 	core.CodeConvicted:        true,
 	core.CodeDeadlineExceeded: true,
+	core.CodeCallerLeft:       true,
 	core.CodeAuditUnavailable: true,
 }
 
--- a/pkg/replica/wal/errors.go
+++ b/pkg/replica/wal/errors.go
@@ -14,10 +14,13 @@
 	// ErrFailed means that an earlier write or sync failed. The log must be closed and
 	// opened again before it can be used.
 	ErrFailed = errors.New("the log stopped after a failed write")
-	// ErrSync means that the sync of a segment failed. Data that is read back afterwards
+	// ErrSync means that the sync of a file or of the directory failed. Data that is read back afterwards
 	// may come from the page cache only, so the log must not be opened again before the
 	// machine restarts.
 	ErrSync = errors.New("a sync failed")
+	// ErrTooLarge means that a batch or a snapshot is larger than the reader accepts.
+	// Nothing was written.
+	ErrTooLarge = errors.New("the payload is larger than a frame may be")
 	// ErrDiskFull means that the disk is full or a disk quota is exceeded.
 	ErrDiskFull = errors.New("the disk is full")
 	// ErrClosed means that the log was closed.
@@ -37,6 +40,11 @@
 	return fmt.Sprintf("%s is damaged at offset %d: %s", err.File, err.Offset, err.Reason)
 }
 
+// wrapSync wraps the error of a failed sync of a path and adds ErrSync.
+func wrapSync(err error, path string) error {
+	return errors.Join(ErrSync, errors.Wrapf(err, "sync %s", path))
+}
+
 // joinDiskFull adds ErrDiskFull to an error that a full disk or an exceeded quota caused.
 func joinDiskFull(err error) error {
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
--- a/pkg/replica/wal/filesystem.go
+++ b/pkg/replica/wal/filesystem.go
@@ -132,7 +132,7 @@
 		return errors.Wrapf(err, "rename %s", temporary)
 	}
 	if err := system.SyncDirectory(filepath.Dir(path)); err != nil {
-		return errors.Wrapf(err, "sync the directory of %s", path)
+		return wrapSync(err, "the directory of "+path)
 	}
 	return nil
 }
@@ -148,7 +148,7 @@
 		return errors.Wrapf(err, "write %s", path)
 	}
 	if err := file.Sync(); err != nil {
-		return errors.Wrapf(err, "sync %s", path)
+		return wrapSync(err, path)
 	}
 	return nil
 }
--- a/pkg/replica/wal/frame.go
+++ b/pkg/replica/wal/frame.go
@@ -13,14 +13,23 @@
 const (
 	frameMagic      = 0x6472_6c31 // "drl1"
 	frameHeaderSize = 12
-	// maxPayloadSize is the largest payload, in bytes, that the reader accepts. It rejects
-	// implausible lengths in damaged frames.
+	// maxPayloadSize is the largest payload of a frame, in bytes. The reader rejects a
+	// greater length as damage.
 	maxPayloadSize = 1 << 30
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// appendFrame appends a frame with the given payload to buffer.
+// checkPayloadSize returns ErrTooLarge if the reader would reject a payload of that size.
+func checkPayloadSize(size int) error {
+	if size > maxPayloadSize {
+		return ErrTooLarge
+	}
+	return nil
+}
+
+// appendFrame appends a frame with the given payload, whose size the caller has checked, to
+// buffer.
 func appendFrame(buffer, payload []byte) []byte {
 	var header [frameHeaderSize]byte
 	binary.LittleEndian.PutUint32(header[0:], frameMagic)
--- a/pkg/replica/wal/log.go
+++ b/pkg/replica/wal/log.go
@@ -167,7 +167,8 @@
 // Save makes the hard state and entries durable with one write and one sync, or with two
 // of each if it starts a new segment. The entries replace all stored entries from the
 // index of the first one on. The error is ErrFailed or ErrClosed if the log is no longer
-// usable, ErrDiskFull if the disk is full, and ErrSync if a sync failed.
+// usable, ErrTooLarge if the entries are too large together, ErrDiskFull if the disk is
+// full, and ErrSync if a sync failed.
 func (log *Log) Save(hardState raft.HardState, entries []raft.Entry) error {
 	log.hardState = hardState
 	return log.write(batch{hardState: &hardState, entries: entries})
@@ -189,7 +190,11 @@
 	if err := log.checkUsable(); err != nil {
 		return err
 	}
-	frame := appendFrame(nil, batch.encode())
+	payload := batch.encode()
+	if err := checkPayloadSize(len(payload)); err != nil {
+		return err
+	}
+	frame := appendFrame(nil, payload)
 	active := &log.segments[len(log.segments)-1]
 	if active.size > 0 && active.size+core.Bytes(len(frame)) > log.segmentBytes {
 		if err := log.startSegment(active.number + 1); err != nil {
@@ -202,7 +207,7 @@
 	}
 	log.syncs.Add(1)
 	if err := log.file.Sync(); err != nil {
-		return log.fail(errors.Join(ErrSync, errors.Wrap(err, "sync the active segment")))
+		return log.fail(wrapSync(err, "the active segment"))
 	}
 	active.size += core.Bytes(len(frame))
 	for _, entry := range batch.entries {
@@ -226,11 +231,11 @@
 	}
 	if err := file.Sync(); err != nil {
 		file.Close()
-		return errors.Join(ErrSync, errors.Wrapf(err, "sync %s", path))
+		return wrapSync(err, path)
 	}
 	if err := log.fileSystem.SyncDirectory(log.directory); err != nil {
 		file.Close()
-		return errors.Wrapf(err, "sync %s", log.directory)
+		return wrapSync(err, log.directory)
 	}
 	if log.file != nil {
 		log.file.Close() // its content is already synced
--- a/pkg/replica/wal/log_test.go
+++ b/pkg/replica/wal/log_test.go
@@ -190,6 +190,47 @@
 	is.Equal(syncs, 1)
 }
 
+// TestFailedSyncIsMarked guards against a log that is opened again after a failed sync of
+// any file or of the directory, because its error does not wrap ErrSync.
+func TestFailedSyncIsMarked(t *testing.T) {
+	cases := []struct {
+		name, call string
+		run        func(log *Log) error
+	}{
+		{"segment", "sync", func(log *Log) error { return log.Save(raft.HardState{Term: 1}, entries(1, 1, 1)) }},
+		{"snapshot", "sync", func(log *Log) error { return log.SaveSnapshot(raft.Snapshot{Index: 1}) }},
+		{"directory of a snapshot", "sync directory", func(log *Log) error { return log.SaveSnapshot(raft.Snapshot{Index: 1}) }},
+		{"directory of a segment", "sync directory", func(log *Log) error { return log.startSegment(9) }},
+	}
+	for _, entry := range cases {
+		t.Run(entry.name, func(t *testing.T) {
+			is := is.New(t)
+			system := newMemoryFileSystem()
+			log, _ := open(t, system)
+			system.fault = func(call, _ string) error {
+				if call == entry.call {
+					return syscall.EIO
+				}
+				return nil
+			}
+			err := entry.run(log)
+			is.True(errors.Is(err, syscall.EIO))
+			is.True(errors.Is(err, ErrSync))
+		})
+	}
+}
+
+// TestTooLarge guards against a payload that is written although the reader rejects it.
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(checkPayloadSize(maxPayloadSize))
+	is.Equal(checkPayloadSize(maxPayloadSize+1), ErrTooLarge)
+	system := newMemoryFileSystem()
+	log, _ := open(t, system)
+	is.Equal(log.SaveSnapshot(raft.Snapshot{Index: 1, Data: make([]byte, maxPayloadSize+1)}), ErrTooLarge)
+	is.NoErr(log.Save(raft.HardState{Term: 1}, entries(1, 1, 1))) // nothing was written, so the log remains usable
+}
+
 // TestFullDisk guards against a full disk that is not reported as ErrDiskFull, and
 // against a partly written entry that is restored.
 func TestFullDisk(t *testing.T) {
--- a/pkg/replica/wal/read.go
+++ b/pkg/replica/wal/read.go
@@ -91,7 +91,7 @@
 	}
 	log.file = file
 	if err := file.Sync(); err != nil {
-		return errors.Wrapf(err, "sync %s", path)
+		return wrapSync(err, path)
 	}
 	if size > 0 {
 		return nil
--- a/pkg/replica/wal/snapshot.go
+++ b/pkg/replica/wal/snapshot.go
@@ -46,6 +46,9 @@
 	if err := log.checkUsable(); err != nil {
 		return err
 	}
+	if err := checkPayloadSize(len(snapshot.Data)); err != nil {
+		return err
+	}
 	path := filepath.Join(log.directory, snapshotName(snapshot.Index))
 	if err := writeFileAtomically(log.fileSystem, path, encodeSnapshot(snapshot)); err != nil {
 		return log.fail(errors.Wrap(err, "save snapshot"))
