--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -11,10 +11,12 @@
 
 // Now returns the reading of CLOCK_BOOTTIME, which counts from a fixed moment before the
 // start of the process.
-func Now() time.Duration {
+func Now() time.Duration { return readClock(unix.CLOCK_BOOTTIME) }
+
+func readClock(id int32) time.Duration {
 	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		panic(err) // CLOCK_BOOTTIME exists in Linux since 2.6.39
+	if err := unix.ClockGettime(id, &now); err != nil {
+		panic(err) // both clocks exist in Linux since 2.6.39
 	}
 	return time.Duration(now.Nano())
 }
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -80,5 +81,5 @@
 func (owner *Owner) Withdraw(id core.AttemptID) (sent bool) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	return owner.attempts.withdraw(id, time.Now())
+	return owner.attempts.withdraw(id, clock.Time())
 }
--- a/internal/dispatch/commands.go
+++ b/internal/dispatch/commands.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
@@ -37,7 +38,7 @@
 func (owner *Owner) finishLoad(group *group, action scheduler.Action, err error) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	switch {
 	case errors.Is(err, upstream.ErrNoSlot):
 		group.scheduler.LoadRefused(action.Upstream, action.Incarnation, action.Adapter, now)
@@ -62,7 +63,7 @@
 		}
 		owner.mutex.Lock()
 		defer owner.mutex.Unlock()
-		now := time.Now()
+		now := clock.Time()
 		group.scheduler.EvictAnswered(action.Upstream, action.Incarnation, action.Adapter, err == nil, now)
 		owner.applyActions(group, now)
 	})
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 )
@@ -18,6 +19,9 @@
 	addresses map[core.UpstreamID]string
 	announced map[core.UpstreamID]Announced
 	pending   map[core.AttemptID]*pendingCall
+	// questions holds, for engines that do not check fencing tokens, whether they have
+	// answered this owner.
+	questions map[core.UpstreamID]question
 	actions   []scheduler.Action
 	timer     *time.Timer
 	// tickAt is the time for which timer is set, or zero if no tick is scheduled.
@@ -42,15 +46,16 @@
 func (owner *Owner) groupFor(id core.GroupID, token core.FencingToken) *group {
 	entry, known := owner.groups[id]
 	if known && token != 0 && entry.token != 0 && entry.token != token {
-		owner.remove(entry, time.Now())
+		owner.remove(entry, clock.Time())
 		known = false
 	}
 	if !known {
 		entry = &group{
-			id: id, scheduler: scheduler.New(owner.config, time.Now()),
+			id: id, scheduler: scheduler.New(owner.config, clock.Time()),
 			addresses: make(map[core.UpstreamID]string),
 			announced: make(map[core.UpstreamID]Announced), pending: make(map[core.AttemptID]*pendingCall),
-			metrics: newGroupMetrics(id),
+			questions: make(map[core.UpstreamID]question),
+			metrics:   newGroupMetrics(id),
 		}
 		owner.groups[id] = entry
 	}
@@ -130,7 +135,7 @@
 	if group.removed {
 		return
 	}
-	now := time.Now()
+	now := clock.Time()
 	group.tickAt = time.Time{}
 	group.scheduler.Tick(now)
 	owner.applyActions(group, now)
--- a/internal/dispatch/owner.go
+++ b/internal/dispatch/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/budget"
 	"github.com/dandelionring/dandelionring/pkg/policy/routing"
@@ -20,6 +21,9 @@
 	Run(ctx context.Context, address string, call core.Call, token core.FencingToken, send func(core.Chunk) error) (core.Tokens, error)
 	// Cancel returns nil once the engine confirmed that the attempt has ended.
 	Cancel(ctx context.Context, address string, attempt core.AttemptID) error
+	// Ask returns the incarnation with which the engine answers a question on a new
+	// connection.
+	Ask(ctx context.Context, address string) (core.Incarnation, error)
 }
 
 // service sends calls to plain services.
@@ -81,13 +85,18 @@
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
 	group := owner.groupFor(announcement.Group, token)
-	now := time.Now()
+	now := clock.Time()
 	group.announced[announcement.Upstream] = Announced{Announcement: announcement, At: now}
-	if ejected {
+	switch {
+	case ejected:
 		group.scheduler.UpstreamLost(announcement.Upstream, announcement.Incarnation, now)
-	} else {
-		group.addresses[announcement.Upstream] = announcement.Address
-		group.scheduler.Announced(announcement, now)
+	case !group.mayOrder(announcement):
+		if token != 0 {
+			owner.startQuestions(group, announcement)
+		}
+		return
+	default:
+		group.addAnnounced(announcement, now)
 	}
 	owner.applyActions(group, now)
 }
@@ -109,7 +118,7 @@
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
 	group := owner.groupFor(id, token)
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.SetBudget(share, now)
 	owner.applyActions(group, now)
 }
@@ -124,7 +133,7 @@
 	if !known {
 		return 0, false
 	}
-	return group.scheduler.Summary(time.Now()).Wait, true
+	return group.scheduler.Summary(clock.Time()).Wait, true
 }
 
 // RemoveGroup removes a group. Calls that were not sent are refused; calls in flight
@@ -133,7 +142,7 @@
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
 	if group, known := owner.groups[id]; known {
-		owner.remove(group, time.Now())
+		owner.remove(group, clock.Time())
 	}
 }
 
@@ -142,7 +151,7 @@
 // it reads is lock 1.
 func (owner *Owner) currentToken(id core.GroupID) core.FencingToken {
 	token, until, held := owner.leases.Lease(id)
-	if !held || !time.Now().Before(until) {
+	if !held || !clock.Time().Before(until) {
 		return 0
 	}
 	return token
@@ -153,7 +162,7 @@
 // current time, so a VM that was suspended finds that its lease has expired.
 func (owner *Owner) checkLease(id core.GroupID) (core.FencingToken, *core.Refusal) {
 	token, until, held := owner.leases.Lease(id)
-	if !held || !time.Now().Before(until) {
+	if !held || !clock.Time().Before(until) {
 		return 0, core.NewRefusal(core.CodeNotOwner, "this VM does not hold the lease of group "+id.String())
 	}
 	return token, nil
--- a/internal/dispatch/owner_test.go
+++ b/internal/dispatch/owner_test.go
@@ -54,6 +54,8 @@
 	token   core.FencingToken
 	held    bool
 	ejected map[string]bool
+	// stopped holds the engines that answer no question.
+	stopped map[string]bool
 	// waiting holds the commands and calls that wait for an answer from the script,
 	// by the text of their event.
 	waiting map[string]chan error
@@ -61,7 +63,7 @@
 }
 
 func newFixture() *fixture {
-	fixture := &fixture{token: 1, held: true, ejected: make(map[string]bool), waiting: make(map[string]chan error), cancels: make(map[core.AttemptID]context.CancelFunc)}
+	fixture := &fixture{token: 1, held: true, ejected: make(map[string]bool), stopped: make(map[string]bool), waiting: make(map[string]chan error), cancels: make(map[core.AttemptID]context.CancelFunc)}
 	jobs, stop := pool.New(8, 0)
 	fixture.stop = stop
 	config := scheduler.Config{
@@ -148,6 +150,10 @@
 		fixture.mutex.Lock()
 		fixture.ejected[fields[1]] = true
 		fixture.mutex.Unlock()
+	case "stop", "continue":
+		fixture.mutex.Lock()
+		fixture.stopped[fields[1]] = fields[0] == "stop"
+		fixture.mutex.Unlock()
 	case "release":
 		fixture.owner.RemoveGroup(groupOf(nil))
 	case "ok", "fail", "full", "broken", "crashed", "refused", "missing":
@@ -189,6 +195,7 @@
 	announcement := core.Announcement{
 		Upstream: core.UpstreamID(words[0]), Incarnation: core.Incarnation(words[1]), Address: words[0], Group: groupOf(words),
 		Leaving: slices.Contains(words, "leaving"), Slots: 1, BatchSize: 4,
+		ChecksFencing: !slices.Contains(words, "unchecked"),
 	}
 	for _, word := range words {
 		if name, found := strings.CutPrefix(word, "resident="); found {
@@ -224,6 +231,18 @@
 	fixture.events = append(fixture.events, fmt.Sprintf(format, values...))
 }
 
+// Ask answers with the incarnation that is the only one of the scripts, unless the engine is
+// stopped.
+func (fixture *fixture) Ask(_ context.Context, address string) (core.Incarnation, error) {
+	fixture.mutex.Lock()
+	defer fixture.mutex.Unlock()
+	fixture.events = append(fixture.events, "asked "+address)
+	if fixture.stopped[address] {
+		return "", errors.New("no answer")
+	}
+	return "run-1", nil
+}
+
 // awaitAnswer records a command or a call and waits for the script's answer to it.
 func (fixture *fixture) awaitAnswer(ctx context.Context, key string, token core.FencingToken) error {
 	fixture.record("%s token=%d", key, token)
--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
@@ -51,7 +52,7 @@
 	}
 	pending := &pendingCall{call: call, actions: make(chan scheduler.Action, 1)}
 	group.pending[call.Attempt] = pending
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.Enqueue(scheduler.Call{
 		Attempt: call.Attempt, Customer: call.Customer, Adapter: call.Pin.AdapterVersion, Priority: call.Priority,
 		Deadline: now.Add(call.Deadline), Suspect: call.Suspect, Prefixes: call.Prefixes,
@@ -92,7 +93,7 @@
 func (owner *Owner) cancelPending(group *group, pending *pendingCall) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.Cancel(pending.call.Attempt, now)
 	delete(group.pending, pending.call.Attempt)
 	owner.applyActions(group, now)
@@ -105,7 +106,7 @@
 	_, refusal := owner.checkLease(group.id)
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	attempt := pending.call.Attempt
 	if refusal == nil && !group.scheduler.Start(attempt, action.Upstream, action.Incarnation, now) {
 		owner.applyActions(group, now)
@@ -208,7 +209,7 @@
 func (owner *Owner) reportEnded(group *group, action scheduler.Action, confirmed bool) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.Ended(action.Attempt, confirmed, now)
 	owner.applyActions(group, now)
 }
@@ -217,7 +218,7 @@
 func (owner *Owner) reportCrash(group *group, action scheduler.Action) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.UpstreamLost(action.Upstream, action.Incarnation, now)
 	group.scheduler.Ended(action.Attempt, false, now)
 	owner.applyActions(group, now)
@@ -229,7 +230,7 @@
 func (owner *Owner) reportUnreachable(group *group, action scheduler.Action) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.UpstreamLost(action.Upstream, action.Incarnation, now)
 	owner.applyActions(group, now)
 }
@@ -239,7 +240,7 @@
 func (owner *Owner) reportAdapterMissing(group *group, action scheduler.Action) {
 	owner.mutex.Lock()
 	defer owner.mutex.Unlock()
-	now := time.Now()
+	now := clock.Time()
 	group.scheduler.AdapterMissing(action.Upstream, action.Incarnation, action.Adapter, now)
 	owner.applyActions(group, now)
 }
--- a/internal/gateway/page_test.go
+++ b/internal/gateway/page_test.go
@@ -8,7 +8,7 @@
 )
 
 // decisionFields are the log fields whose values must be the same in the page and in
-// testdata/walks.
+// testdata/scripts/walks.
 var decisionFields = []string{"outcome", "event", "reason", "status", "sends", "runs"}
 
 var (
@@ -17,14 +17,14 @@
 )
 
 // TestOperationsPage guards against documentation of log lines that the gateway does not
-// write: each sample line in docs/OPERATIONS.md must match a line of testdata/walks, which
+// write: each sample line in docs/OPERATIONS.md must match a line of testdata/scripts/walks, which
 // has the same fields, and the same values of decisionFields.
 func TestOperationsPage(t *testing.T) {
 	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
-	walks, err := os.ReadFile("testdata/walks")
+	walks, err := os.ReadFile("testdata/scripts/walks")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +41,7 @@
 			written = written || strings.HasPrefix(line, "log: \""+name) && covers(line, sample[message[1]:])
 		}
 		if !written {
-			t.Errorf("no line of testdata/walks matches the sample %s", sample)
+			t.Errorf("no line of testdata/scripts/walks matches the sample %s", sample)
 		}
 	}
 	if samples < 6 {
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -191,7 +191,7 @@
 // of a request that may have run, a response that belongs to another request or is
 // incomplete, and a stream with missing events.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			return runCase(t, data)
 		})
--- a/internal/h1/script_test.go
+++ b/internal/h1/script_test.go
@@ -78,7 +78,7 @@
 // responses of an upstream, separated by lines of two dashes, and as many calls are made.
 // It also guards against the reuse of a connection on which part of a response is unread.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			return runCase(t, data.Input)
 		})
--- a/internal/session/leader.go
+++ b/internal/session/leader.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/replica/lease"
@@ -98,13 +99,13 @@
 // knows of.
 func (leader *Leader) Renew(ctx context.Context, message *wire.Renew) *wire.RenewResult {
 	notLeader := &wire.RenewResult{LeaderVm: string(leader.replica.Leader()), Sequence: message.GetSequence()}
-	authority := leader.currentAuthority(time.Now())
+	authority := leader.currentAuthority(clock.Time())
 	if authority == nil {
 		return notLeader
 	}
 	leader.observeNumbers(authority)
-	grant := authority.RecordRenewal(time.Now(), message)
-	if err := leader.confirm.Wait(ctx); err != nil || leader.currentAuthority(time.Now()) != authority {
+	grant := authority.RecordRenewal(clock.Time(), message)
+	if err := leader.confirm.Wait(ctx); err != nil || leader.currentAuthority(clock.Time()) != authority {
 		return notLeader
 	}
 	return authority.RenewResult(message, grant, leader.readState(authority, core.ConfigNumber(message.GetConfigNumber())))
@@ -143,7 +144,7 @@
 }
 
 func (leader *Leader) step(ctx context.Context, assignments *sync.WaitGroup) {
-	now := time.Now()
+	now := clock.Time()
 	authority := leader.currentAuthority(now)
 	if authority == nil {
 		return
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -7,6 +7,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/admission"
@@ -78,7 +79,7 @@
 func New(options Options) *Session {
 	session := &Session{
 		options:       options,
-		node:          NewNode(time.Now(), options.Self, options.Zone, options.ZoneVMs, options.Budget),
+		node:          NewNode(clock.Time(), options.Self, options.Zone, options.ZoneVMs, options.Budget),
 		finder:        leaderFinder{diskVMs: options.DiskVMs},
 		renewNow:      make(chan struct{}, 1),
 		changedSignal: make(chan struct{}),
@@ -176,14 +177,14 @@
 func (session *Session) sendRenewal(ctx context.Context, vm core.VMID) (*wire.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	now := time.Now()
+	now := clock.Time()
 	renewal := session.node.Renewal(now, session.demands(now))
 	caller := localCaller{session, session.options.Caller}
 	return caller.Call(ctx, vm, &wire.Request{Body: &wire.Request_Renew{Renew: renewal}})
 }
 
 func (session *Session) applyRenewResult(result *wire.RenewResult) {
-	if err := session.node.ApplyAnswer(time.Now(), result); err != nil {
+	if err := session.node.ApplyAnswer(clock.Time(), result); err != nil {
 		session.options.Logger.Error("Configuration not applied.", "error", err)
 	}
 	session.notifyChange()
@@ -229,7 +230,7 @@
 	var running sync.WaitGroup
 	defer running.Wait()
 	for {
-		now := time.Now()
+		now := clock.Time()
 		for _, round := range session.node.Rounds(now, session.demands(now)) {
 			running.Go(func() { session.runRound(ctx, round) })
 		}
@@ -270,7 +271,7 @@
 			replies.Unreachable++
 		}
 	}
-	session.node.ApplyReplies(time.Now(), round, replies)
+	session.node.ApplyReplies(clock.Time(), round, replies)
 }
 
 // Handle answers a Renew, Push or Consent request of another VM. It returns false for
@@ -286,7 +287,7 @@
 	case *wire.Request_Push:
 		return &wire.Response{Body: &wire.Response_PushResult{PushResult: session.applyPush(body.Push)}}, true
 	case *wire.Request_Consent:
-		result := session.node.Consent(time.Now(), body.Consent)
+		result := session.node.Consent(clock.Time(), body.Consent)
 		return &wire.Response{Body: &wire.Response_ConsentResult{ConsentResult: result}}, true
 	default:
 		return nil, false
@@ -294,7 +295,7 @@
 }
 
 func (session *Session) applyPush(push *wire.Push) *wire.PushResult {
-	result, err := session.node.ApplyPush(time.Now(), push)
+	result, err := session.node.ApplyPush(clock.Time(), push)
 	if err != nil {
 		session.options.Logger.Error("Pushed configuration not applied.", "error", err)
 	}
@@ -305,7 +306,7 @@
 // RecordAnnouncement records that an upstream announced itself to this VM. The next renewal
 // asks the leader for an owner of its group.
 func (session *Session) RecordAnnouncement(announcement core.Announcement) {
-	session.demand.recordAnnouncement(time.Now(), announcement)
+	session.demand.recordAnnouncement(clock.Time(), announcement)
 }
 
 // Index returns the index of the accepted plans and grants.
@@ -313,17 +314,17 @@
 
 // ConfigAge returns zero while the VM has a lease from the leader. Otherwise it returns
 // the time since it received the last such lease, or since its start if it received none.
-func (session *Session) ConfigAge() time.Duration { return session.node.ConfigAge(time.Now()) }
+func (session *Session) ConfigAge() time.Duration { return session.node.ConfigAge(clock.Time()) }
 
 // Lease returns the fencing token of a group and the time until which this VM is its
 // only dispatcher. held is false if the VM has no lease on the group.
 func (session *Session) Lease(group core.GroupID) (token core.FencingToken, until time.Time, held bool) {
-	return session.node.Lease(time.Now(), group)
+	return session.node.Lease(clock.Time(), group)
 }
 
 // Owner returns the VM that owns a group, and false if none is known.
 func (session *Session) Owner(group core.GroupID) (core.VMID, bool) {
-	return session.node.Owner(time.Now(), group)
+	return session.node.Owner(clock.Time(), group)
 }
 
 // Owners returns the owners of all groups in the newest directory, sorted by group.
@@ -333,15 +334,15 @@
 
 // Groups returns the groups with a kind and name, the one of the VM's own zone first.
 func (session *Session) Groups(kind core.GroupKind, name string) []core.GroupID {
-	return session.node.Groups(time.Now(), kind, name)
+	return session.node.Groups(clock.Time(), kind, name)
 }
 
 // Share returns the part of the weight store's budget that this VM may use now.
-func (session *Session) Share() lease.Share { return session.node.Share(time.Now()) }
+func (session *Session) Share() lease.Share { return session.node.Share(clock.Time()) }
 
 // Crashes returns how many upstreams a request has crashed.
 func (session *Session) Crashes(fingerprint core.Fingerprint) int {
-	return session.node.Crashes(time.Now(), fingerprint)
+	return session.node.Crashes(clock.Time(), fingerprint)
 }
 
 // ReportCrash commits a crash report to the replicated state. This VM applies the resulting
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -127,6 +127,21 @@
 	return nil
 }
 
+// Ask returns the incarnation with which an engine answers a question on a new connection.
+func (client *Client) Ask(ctx context.Context, address string) (core.Incarnation, error) {
+	request := outgoing{address: address, method: http.MethodGet, target: "/v1/status", headTimeout: probeTimeout}
+	response, err := client.send(ctx, request)
+	if err != nil {
+		return "", errors.Wrap(err, "ask for the status")
+	}
+	defer response.Body.Close()
+	var status struct{ Incarnation core.Incarnation }
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&status); err != nil {
+		return "", errors.Wrap(err, "decode the status")
+	}
+	return status.Incarnation, nil
+}
+
 // Run sends a call to an engine and passes the events of the answer to send. The first
 // chunk carries the head. It returns the number of tokens of the answer so far, including
 // those before call.ResumeOffset, and a *CallError if the stream did not reach its end
--- a/internal/upstream/health.go
+++ b/internal/upstream/health.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
-	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -127,17 +125,12 @@
 		}
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	request := outgoing{address: address, method: http.MethodGet, target: "/v1/status", headTimeout: probeTimeout}
-	response, err := client.send(ctx, request)
+	answered, err := client.Ask(ctx, address)
 	if err != nil {
-		return closedByPeer(err)
+		var failure *CallError
+		return errors.As(err, &failure) && closedByPeer(failure.Err)
 	}
-	defer response.Body.Close()
-	var status struct{ Incarnation core.Incarnation }
-	if json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(&status) != nil {
-		return false
-	}
-	return incarnation != "" && status.Incarnation != incarnation
+	return incarnation != "" && answered != incarnation
 }
 
 // closedByPeer reports whether err means that the peer refused or closed the connection,
--- a/internal/vm/status.go
+++ b/internal/vm/status.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/operator"
@@ -40,7 +41,7 @@
 		Draining:     !handler.vm.ready.Load(),
 	}
 	result.Replica = handler.replica()
-	now := time.Now()
+	now := clock.Time()
 	for _, announced := range handler.vm.owner.Announcements(now) {
 		result.Upstreams = append(result.Upstreams, upstreamInfo(announced, now))
 	}
--- a/pkg/policy/queue/queue.go
+++ b/pkg/policy/queue/queue.go
@@ -172,8 +172,9 @@
 }
 
 // admits reports whether a customer may add a call. Any customer may while the queue
-// is less than half full. After that, each customer may fill an equal part of the
-// whole queue.
+// is less than half full. After that, each customer with waiting calls may fill an equal
+// part of the whole queue, where one more customer counts than wait: a customer that is
+// alone does not fill the queue, so that the first call of another one finds a place.
 func (queue *Queue) admits(id core.CustomerID) bool {
 	if queue.waiting < queue.limit/2 {
 		return true
@@ -185,7 +186,7 @@
 	if !known || state.waiting == 0 {
 		return true
 	}
-	return state.waiting < max(1, queue.limit/queue.activeCustomers)
+	return state.waiting < max(1, queue.limit/(queue.activeCustomers+1))
 }
 
 // DisplacementCandidate returns the id of the waiting call that should be removed
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -108,7 +108,11 @@
 # The VMs of the cluster, and their zone and disk (disk or none) by name.
 declare -A zone_of=() disk_of=()
 vm_names=()
-shared_secret=development-secret-of-a-test
+# Each cluster has a secret and an upstream token of its own: an upstream that announces
+# itself to a port which another cluster has taken since is refused there.
+cluster_id=$(od -An -N8 -tx8 /dev/urandom | tr -d ' ')
+shared_secret=secret-of-cluster-$cluster_id
+upstream_token=token-of-cluster-$cluster_id
 caller_key=key-of-plan-1
 
 # add_vm NAME ZONE disk|none declares a VM.
@@ -143,7 +147,7 @@
 		{"VM": "$name", "Zone": "${zone_of[$name]}", "DataFolder": "$data", "Peers": [$peers],
 		 "CallerAddress": "127.0.0.1:0", "OperatorAddress": "127.0.0.1:0",
 		 "UpstreamAddress": "127.0.0.1:0", "PeerAddress": "127.0.0.1:0",
-		 "SharedSecret": "$shared_secret", "ReadyGraceSeconds": 1, "DefaultDeadlineMillis": 15000,
+		 "SharedSecret": "$shared_secret", "UpstreamToken": "$upstream_token", "ReadyGraceSeconds": 1, "DefaultDeadlineMillis": 15000,
 		 "StoreLoadsPerSecond": ${store_rate:-7}, "StoreTransits": ${store_transits:-3}}
 	EOF
 }
@@ -188,7 +192,7 @@
 		[ "${zone_of[$vm]}" != "$zone" ] || vms+=(--vm "$(set_route "$zone-upstreams" "$vm" "${addresses[$vm/upstream]}")")
 	done
 	relay_address=$(set_route "zone-$zone" "$name" '')
-	start_standin "$name" "$kind" --upstream "$name" --zone "$zone" --upstream-token development \
+	start_standin "$name" "$kind" --upstream "$name" --zone "$zone" --upstream-token "$upstream_token" \
 		--advertise "$relay_address" --journal "$run_dir/$name.journal" "${vms[@]}" "$@" || return 1
 	set_route "zone-$zone" "$name" "${addresses[$name]}" >/dev/null
 }
