Keep an owner's reports and placements of several zones apart

Cause: a control VM that owns the engines of two zones, after another one was lost or cut off, kept one usage report for each entry VM.

Change: usage reports name their zone and replace the last one on that zone only; an engine or a pending load in any owned zone comes before another load, and the order of the zones depends on the weights.

--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -1,10 +1,13 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
@@ -193,23 +196,50 @@
 	}
 }
 
-// tryPlace returns an engine that holds the weights now, or starts a load. The channel is
-// closed when the next order completes.
+// tryPlace returns an engine that holds the weights now, or starts a load. If this VM owns
+// several zones, an engine or a pending load in any of them comes before another load. The
+// channel is closed when the next order completes.
 func (control *Control) tryPlace(query residency.Query) (core.UpstreamID, residency.PlacementStatus, <-chan struct{}) {
 	now := clock.Now()
 	control.lock.Lock()
 	defer control.lock.Unlock()
-	for _, zone := range control.owned {
-		if !control.mayOrder(now, zone) {
-			continue
-		}
-		upstream, status := zone.table.Place(now, query)
-		if status != residency.NoEngine {
-			control.signalWorker()
+	zones := control.zonesFor(now, query.Weights)
+	found := residency.NoEngine
+	for _, zone := range zones {
+		upstream, status := zone.table.Find(now, query)
+		if status == residency.Ready {
 			return upstream, status, control.progress
 		}
+		if status == residency.LoadPending {
+			found = status
+		}
+	}
+	for _, zone := range zones {
+		if found == residency.LoadPending {
+			break
+		}
+		if _, status := zone.table.Place(now, query); status != residency.NoEngine {
+			found = status
+		}
+	}
+	if found == residency.LoadPending {
+		control.signalWorker()
+	}
+	return "", found, control.progress
+}
+
+// zonesFor returns the zones in which this VM may send orders. The order depends on the
+// weights, so that loads spread over the zones. The caller holds the lock.
+func (control *Control) zonesFor(now time.Duration, weights core.WeightKey) []*ownedZone {
+	var zones []*ownedZone
+	for _, zone := range control.owned {
+		if control.mayOrder(now, zone) {
+			zones = append(zones, zone)
+		}
 	}
-	return "", residency.NoEngine, nil
+	rank := func(zone *ownedZone) uint64 { return xxhash.Sum64String(string(zone.zone) + weights.String()) }
+	slices.SortFunc(zones, func(a, b *ownedZone) int { return cmp.Compare(rank(a), rank(b)) })
+	return zones
 }
 
 // recordUsage applies the usage report of an entry VM and returns the requests in flight of
@@ -219,7 +249,7 @@
 	own := parseUsage(now, request)
 	control.lock.Lock()
 	defer control.lock.Unlock()
-	control.usage[core.VMID(request.GetVm())] = own
+	control.usage[usageKey{core.VMID(request.GetVm()), core.ZoneID(request.GetZone())}] = own
 	sums := control.sumRunning(now)
 	for _, zone := range control.owned {
 		for _, use := range request.GetWeights() {
@@ -272,17 +302,17 @@
 // and drops expired reports. The caller holds the lock.
 func (control *Control) sumRunning(now time.Duration) map[core.UpstreamID]map[core.WeightKey]int {
 	sums := make(map[core.UpstreamID]map[core.WeightKey]int)
-	for vm, use := range control.usage {
+	for key, use := range control.usage {
 		if now-use.at > usageTTL {
-			delete(control.usage, vm)
+			delete(control.usage, key)
 			continue
 		}
 		for id, running := range use.running {
 			if sums[id] == nil {
 				sums[id] = make(map[core.WeightKey]int)
 			}
-			for key, count := range running {
-				sums[id][key] += count
+			for weights, count := range running {
+				sums[id][weights] += count
 			}
 		}
 	}
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -24,7 +24,7 @@
 	}
 	delete(table.changedZones, zone)
 	table.lastReport[zone] = now
-	usage := &wire.Usage{Vm: string(vm)}
+	usage := &wire.Usage{Vm: string(vm), Zone: string(zone)}
 	for key, count := range table.sendCounts[zone] {
 		usage.Weights = append(usage.Weights, &wire.WeightUse{
 			Service: string(key.Service), Model: string(key.Weights.Model), Adapter: string(key.Weights.Adapter), Count: uint32(count),
--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -69,6 +69,24 @@
 // none, it returns an empty id and adds a pending load, unless one exists already or no
 // engine can take one.
 func (table *Table) Place(now time.Duration, query Query) (core.UpstreamID, PlacementStatus) {
+	if id, status := table.Find(now, query); status != NoEngine {
+		return id, status
+	}
+	query.Revision = max(query.Revision, table.revisions[query.Weights])
+	chosen, full := table.cheapestEngine(now, query)
+	switch {
+	case chosen == nil && full:
+		return "", QueueFull
+	case chosen == nil:
+		return "", NoEngine
+	}
+	chosen.pendingLoads = append(chosen.pendingLoads, pendingLoad{weights: query.Weights, revision: query.Revision, lastRequested: now})
+	return "", LoadPending
+}
+
+// Find returns the least utilized engine that holds the weights, and Ready. If there is
+// none, it returns LoadPending if a load is pending or in progress, and NoEngine otherwise.
+func (table *Table) Find(now time.Duration, query Query) (core.UpstreamID, PlacementStatus) {
 	query.Revision = max(query.Revision, table.revisions[query.Weights])
 	var ready *engine
 	pending := false
@@ -90,16 +108,9 @@
 		return ready.id, Ready
 	case pending:
 		return "", LoadPending
-	}
-	chosen, full := table.cheapestEngine(now, query)
-	switch {
-	case chosen == nil && full:
-		return "", QueueFull
-	case chosen == nil:
+	default:
 		return "", NoEngine
 	}
-	chosen.pendingLoads = append(chosen.pendingLoads, pendingLoad{weights: query.Weights, revision: query.Revision, lastRequested: now})
-	return "", LoadPending
 }
 
 // eligible reports whether the engine may answer the query: it belongs to the service, is
