Keep the sums of usage reports instead of adding all of them up at each report

Cause: an owner added up the reports of all entry VMs, and sorted all upstreams, at each report: work that grows with the square of the entry VMs (194 on the large deployment, each with up to twelve reports a second). After an engine's report the counts in use were zero until the next usage report.

Change: usageTable changes only the sums of a report's own upstreams; an engine's report takes the known counts over; the answer lists the upstreams of the report's zone.

Measured: TestUsageTable compares the sums with those of all reports in drawn sequences.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -88,7 +88,7 @@
 	published   map[core.UpstreamID]time.Duration
 	owned       map[core.ZoneID]*ownedZone
 	leaseEnd    time.Duration
-	usage       map[usageKey]usageReport
+	usage       usageTable
 	engineSpecs map[core.ServiceID]core.EngineSpec
 	// revisionIndex is the log index of the last adapter revision that was applied.
 	revisionIndex uint64
@@ -104,18 +104,6 @@
 	progress chan struct{}
 }
 
-// usageKey identifies the reports that replace each other.
-type usageKey struct {
-	entryVM core.VMID
-	zone    core.ZoneID
-}
-
-// usageReport is the last report of an entry VM on its requests in flight.
-type usageReport struct {
-	at      time.Duration
-	running map[core.UpstreamID]map[core.WeightKey]int
-}
-
 // ownedZone is a zone whose engines this VM owns.
 type ownedZone struct {
 	zone  core.ZoneID
@@ -154,7 +142,6 @@
 		known:       membership.NewTable(membership.Timing{Silence: removalAfter, Removal: removalAfter}),
 		published:   make(map[core.UpstreamID]time.Duration),
 		owned:       make(map[core.ZoneID]*ownedZone),
-		usage:       make(map[usageKey]usageReport),
 		engineSpecs: make(map[core.ServiceID]core.EngineSpec),
 		progress:    make(chan struct{}),
 		cache:       upstreamCache{path: options.RecallFile},
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -126,6 +126,7 @@
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	zone.table.ApplyReport(clock.Now(), order.Upstream, order.Born, state)
+	zone.table.SetRunning(order.Upstream, control.usage.sums[order.Upstream])
 	control.publishProgress(zone)
 }
 
@@ -241,80 +242,3 @@
 	slices.SortFunc(zones, func(a, b *ownedZone) int { return cmp.Compare(rank(a), rank(b)) })
 	return zones
 }
-
-// recordUsage applies the usage report of an entry VM and returns the requests in flight of
-// the other entry VMs at each upstream.
-func (control *Control) recordUsage(request *wire.Usage) *wire.UsageResult {
-	now := clock.Now()
-	own := parseUsage(now, request)
-	control.lock.Lock()
-	defer control.lock.Unlock()
-	control.usage[usageKey{core.VMID(request.GetVm()), core.ZoneID(request.GetZone())}] = own
-	sums := control.sumRunning(now)
-	for _, zone := range control.owned {
-		for _, use := range request.GetWeights() {
-			key := core.WeightKey{Model: core.ModelID(use.GetModel()), Adapter: core.AdapterID(use.GetAdapter())}
-			zone.table.RecordUse(now, key, int(use.GetCount()))
-		}
-		for _, instance := range control.known.All() {
-			zone.table.SetRunning(instance.Upstream, sums[instance.Upstream])
-		}
-	}
-	result := &wire.UsageResult{}
-	for id, running := range sums {
-		if others := totalRunning(running) - totalRunning(own.running[id]); others > 0 {
-			result.Upstreams = append(result.Upstreams, &wire.UpstreamUse{Upstream: string(id), Running: uint32(others)})
-		}
-	}
-	return result
-}
-
-// parseUsage returns the requests in flight of a report. Those without weights count under
-// the zero key.
-func parseUsage(now time.Duration, request *wire.Usage) usageReport {
-	own := usageReport{at: now, running: make(map[core.UpstreamID]map[core.WeightKey]int)}
-	for _, upstream := range request.GetUpstreams() {
-		running := make(map[core.WeightKey]int)
-		for _, weights := range upstream.GetWeights() {
-			running[core.WeightKey{Model: core.ModelID(weights.GetModel()), Adapter: core.AdapterID(weights.GetAdapter())}]++
-		}
-		if rest := int(upstream.GetRunning()) - len(upstream.GetWeights()); rest > 0 {
-			running[core.WeightKey{}] = rest
-		}
-		own.running[core.UpstreamID(upstream.GetUpstream())] = running
-	}
-	return own
-}
-
-func totalRunning(running map[core.WeightKey]int) int {
-	sum := 0
-	for _, count := range running {
-		sum += count
-	}
-	return sum
-}
-
-// usageTTL is the time for which a usage report counts. While an entry VM has requests in
-// flight it reports at least every 500 ms, and at most every 80 ms.
-const usageTTL = 2 * time.Second
-
-// sumRunning returns the requests in flight of all entry VMs at each upstream, by weights,
-// and drops expired reports. The caller holds the lock.
-func (control *Control) sumRunning(now time.Duration) map[core.UpstreamID]map[core.WeightKey]int {
-	sums := make(map[core.UpstreamID]map[core.WeightKey]int)
-	for key, use := range control.usage {
-		if now-use.at > usageTTL {
-			delete(control.usage, key)
-			continue
-		}
-		for id, running := range use.running {
-			if sums[id] == nil {
-				sums[id] = make(map[core.WeightKey]int)
-			}
-			for weights, count := range running {
-				sums[id][weights] += count
-			}
-		}
-	}
-	return sums
-}
--- a/internal/control/zones_test.go
+++ b/internal/control/zones_test.go
@@ -46,15 +46,13 @@
 			Upstream: "engine-" + zone, Running: 1, Weights: []*wire.WeightState{{Model: "m", Adapter: adapter}},
 		}}})
 	}
-	sums := control.sumRunning(clock.Now())
-	is.Equal(sums["engine-a"], map[core.WeightKey]int{{Model: "m", Adapter: "x"}: 1})
-	is.Equal(sums["engine-b"], map[core.WeightKey]int{{Model: "m", Adapter: "y"}: 1})
+	is.Equal(control.usage.sums["engine-a"], upstreamUse{{Model: "m", Adapter: "x"}: 1})
+	is.Equal(control.usage.sums["engine-b"], upstreamUse{{Model: "m", Adapter: "y"}: 1})
 
 	// An empty report ends the requests of its own zone only.
 	control.recordUsage(&wire.Usage{Vm: "entry", Zone: "a"})
-	sums = control.sumRunning(clock.Now())
-	is.Equal(len(sums["engine-a"]), 0)
-	is.Equal(len(sums["engine-b"]), 1)
+	is.Equal(len(control.usage.sums["engine-a"]), 0)
+	is.Equal(len(control.usage.sums["engine-b"]), 1)
 }
 
 // TestPlaceInTwoZones guards against an owner of two zones that loads an adapter into one
