Guard the failure of a test disk with its lock

The race is in the test's disk, seen first with the new case, which mends a disk.

Change: both steps take the lock of the disk.

--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -57,6 +57,12 @@
 	return nil
 }
 
+func (disk *disk) setFailed(failed bool) {
+	disk.mutex.Lock()
+	defer disk.mutex.Unlock()
+	disk.failed = failed
+}
+
 // link sends the requests of one VM to the others.
 type link struct {
 	deployment *deployment
@@ -215,9 +221,9 @@
 	case "up":
 		deployment.setMode(vm, "")
 	case "fail":
-		deployment.disks[vm].failed = true
+		deployment.disks[vm].setFailed(true)
 	case "mend":
-		deployment.disks[vm].failed = false
+		deployment.disks[vm].setFailed(false)
 	case "wait":
 		duration, err := time.ParseDuration(words[1])
 		is.NoErr(err)
