--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -13,6 +13,7 @@
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/dandelionring/dandelionring/internal/entry"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -26,10 +27,13 @@
 type twoTokenServer struct {
 	breakAfterFirst bool
 	calls           int
+	// path is the path of the last request.
+	path string
 }
 
 func (server *twoTokenServer) Serve(_ context.Context, request entry.Request, responder entry.Responder) core.End {
 	server.calls++
+	server.path = request.Path
 	answer := entry.Answer{Request: "r", Attempt: "a", Config: 1, Head: core.Head{Status: http.StatusOK}}
 	answer.Pin.AdapterVersion = core.AdapterVersion{Adapter: request.Wanted.Adapter, Version: "1"}
 	end := core.End{Whole: true, Outcome: core.Ran}
@@ -111,6 +115,20 @@
 	return response.StatusCode, body.String()
 }
 
+// TestServicePath guards against a call to a plain service whose escaped path is decoded on
+// the way: an escaped question mark or slash would reach the service as itself.
+func TestServicePath(t *testing.T) {
+	is := is.New(t)
+	server := &twoTokenServer{}
+	httpServer := httptest.NewServer(New(server, server, maxTestBody).Router())
+	defer httpServer.Close()
+	const path = "/slots/a%2Fb%3Fall%20"
+	request := "POST /v1/services/billing" + path + "?day=1 HTTP/1.1\r\nHost: vm\r\nContent-Length: 0\r\n\r\n"
+	status, _ := sendRequest(t, httpServer.Listener.Addr().String(), request)
+	is.Equal(status, http.StatusOK)
+	is.Equal(server.path, path)
+}
+
 // FuzzParseCompletion guards against a request body that makes the VM panic, is accepted
 // without an adapter, or yields more than maxPrefixes hashes.
 func FuzzParseCompletion(f *testing.F) {
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -112,7 +112,7 @@
 		Key:            bearerKeyHash(request),
 		Service:        core.ServiceID(name),
 		Method:         request.Method,
-		Path:           strings.TrimPrefix(request.URL.Path, "/v1/services/"+name),
+		Path:           strings.TrimPrefix(request.URL.EscapedPath(), "/v1/services/"+name),
 		Query:          request.URL.RawQuery,
 		Headers:        upstream.EndToEndHeaders(request.Header, "Authorization", "Idempotency-Key", "Content-Length", "Accept-Encoding"),
 		Body:           body,
--- a/internal/h1/script_test.go
+++ b/internal/h1/script_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -85,6 +86,33 @@
 	})
 }
 
+// TestUnreadResponse guards against a connection that is used again although part of a
+// response is unread: the next caller would read the rest as the response to its request.
+func TestUnreadResponse(t *testing.T) {
+	is := is.New(t)
+	upstream := &scriptedUpstream{responses: []string{"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nfirst half"}}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	go upstream.serve(listener)
+	var pool Pool
+	defer pool.Close()
+	key := Key{Address: listener.Addr().String()}
+	for range 2 {
+		conn, err := pool.Get(t.Context(), key, 0)
+		is.NoErr(err)
+		_, err = conn.Send([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), nil)
+		is.NoErr(err)
+		response, err := conn.ReadResponse(http.MethodGet) //nolint:bodyclose // the rest of the body stays unread
+		is.NoErr(err)
+		is.True(!conn.Reused())
+		half := make([]byte, len("first half"))
+		_, err = io.ReadFull(response.Body, half)
+		is.NoErr(err)
+		pool.Put(key, conn)
+	}
+}
+
 func runCase(t *testing.T, input string) string {
 	upstream := &scriptedUpstream{}
 	for part := range strings.SplitSeq(input+"\n", "--\n") {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -24,6 +24,8 @@
 	// maxPutAttempts bounds how often one change is sent. Sending the same change
 	// again is safe: the server returns the result of the first attempt.
 	maxPutAttempts = 3
+	// maxAnswerBytes limits the answer of a VM. The lists of the design size have 1.4 MB.
+	maxAnswerBytes = 64 << 20
 )
 
 // Client calls the operator API of one VM. Use NewClient; the zero value is not usable.
@@ -201,10 +203,13 @@
 		return errors.Wrap(err, "send request to VM")
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
+	if len(text) > maxAnswerBytes {
+		return errors.Errorf("the answer has more than %d bytes", maxAnswerBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		return &StatusError{response.StatusCode, text}
 	}
