Split the exchange of a request from the outcome of a call

Change: outgoing.exchange writes the request and reads the head; send converts its errors. Measured: the tests of upstream and dispatch pass with the race detector.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -152,20 +152,8 @@
 		return nil, &CallError{Outcome: core.NotRun, Code: core.CodeUpstreamFailed, Lost: true, Err: err}
 	}
 	watch := context.AfterFunc(ctx, func() { conn.Close() })
-	slow := time.AfterFunc(request.headTimeout, func() { conn.Close() })
-	sent, err := conn.Send(head, request.body)
-	var response *http.Response
-	if err == nil {
-		response, err = conn.ReadResponse(request.method) //nolint:bodyclose // closed below or by the caller
-	}
-	if err == nil && !slow.Stop() {
-		err = errors.Errorf("no head of a response within %v", request.headTimeout)
-	}
-	if err == nil && conn.Reused() && response.Header.Get(attemptHeader) != string(request.attempt) {
-		err = errors.New("the response on a reused connection names another attempt or none")
-	}
+	response, sent, err := request.exchange(conn, head)
 	if err != nil {
-		slow.Stop()
 		watch()
 		client.conns.Drop(key, conn)
 		failure := &CallError{Outcome: core.Unknown, Code: core.CodeUpstreamFailed, Lost: true, Err: err}
@@ -185,6 +173,29 @@
 	return response, nil
 }
 
+// exchange writes the request and reads the head of its response. It returns the number of
+// bytes that may have been sent, also with an error, after which the connection must be
+// closed.
+func (request *outgoing) exchange(conn *h1.Conn, head []byte) (*http.Response, int, error) {
+	slow := time.AfterFunc(request.headTimeout, func() { conn.Close() })
+	defer slow.Stop()
+	sent, err := conn.Send(head, request.body)
+	if err != nil {
+		return nil, sent, errors.Wrap(err, "send request")
+	}
+	response, err := conn.ReadResponse(request.method)
+	if err != nil {
+		return nil, sent, errors.Wrap(err, "receive response")
+	}
+	if !slow.Stop() {
+		return nil, sent, errors.Errorf("no head of a response within %v", request.headTimeout)
+	}
+	if conn.Reused() && response.Header.Get(attemptHeader) != string(request.attempt) {
+		return nil, sent, errors.New("the response on a reused connection names another attempt or none")
+	}
+	return response, sent, nil
+}
+
 // connect returns a connection to an upstream: a new one unless reuse is set.
 func (client *Client) connect(ctx context.Context, key h1.Key, reuse bool) (*h1.Conn, error) {
 	open := client.conns.Dial
