Let the benchmarks' engines answer as the interface asks

Cause: scripts/bench path was refused with no_upstream: its engine checks no tokens and answers no question, so it gets no order of an owner any more, and neither benchmark engine named the attempt, so each call opened a connection. Change: the engine of path checks tokens as far as its announcement goes, and both engines repeat X-Attempt.

--- a/internal/bench/audit/path.go
+++ b/internal/bench/audit/path.go
@@ -96,6 +96,7 @@
 	_, _ = io.Copy(io.Discard, request.Body)
 	header := writer.Header()
 	header.Set("Content-Type", "text/event-stream")
+	header.Set("X-Attempt", request.Header.Get("X-Attempt"))
 	header.Set("X-Engine", "engine")
 	header.Set("X-Incarnation", "i1")
 	header.Set("X-Adapter", request.Header.Get("X-Adapter"))
--- a/internal/bench/path/cluster.go
+++ b/internal/bench/path/cluster.go
@@ -148,7 +148,7 @@
 
 func announcement(engine string) core.Announcement {
 	return core.Announcement{
-		Upstream: "engine-1", Incarnation: "run-1", Group: group(), Address: engine, Resumes: true, Slots: 4, BatchSize: 1024,
+		Upstream: "engine-1", Incarnation: "run-1", Group: group(), Address: engine, ChecksFencing: true, Resumes: true, Slots: 4, BatchSize: 1024,
 		Resident: []core.Resident{{AdapterVersion: core.AdapterVersion{Adapter: adapterName, Version: "1"}}},
 	}
 }
--- a/internal/bench/path/engine.go
+++ b/internal/bench/path/engine.go
@@ -20,6 +20,7 @@
 		}
 		header := writer.Header()
 		header.Set("Content-Type", "text/event-stream")
+		header.Set("X-Attempt", request.Header.Get("X-Attempt"))
 		header.Set("X-Engine", "engine-1")
 		header.Set("X-Incarnation", "run-1")
 		header.Set("X-Adapter", request.Header.Get("X-Adapter"))
