--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,6 +37,8 @@
 	// lastEvent is the ID of the last event that was sent to the caller, or that the
 	// caller named in its request.
 	lastEvent string
+	// events is the number of events that were sent to the caller.
+	events int
 	// outcome is core.Ran once the last send has ended with a complete response, and 0
 	// before. sentAt is the time at which that send started.
 	outcome core.Outcome
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -18,6 +18,8 @@
 	// LastEvent is the ID of the event after which a stream is resumed, empty for a new
 	// stream.
 	LastEvent string
+	// Parts are the parts of the prompt in order, empty if the request does not state them.
+	Parts []core.PartID
 }
 
 // Send holds the values that the gateway adds to one send of a request to an upstream.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,7 @@
 	// bodies limits the bodies of requests and responses that are held at the same time.
 	bodies h1.Memory
 	copies copyRequester
+	losses lossWatch
 	// routeTableWaiters counts the requests that wait for the first route table.
 	routeTableWaiters atomic.Int32
 
@@ -58,8 +59,10 @@
 func New(options Options) (*Gateway, func()) {
 	gateway := &Gateway{options: options, budgets: make(map[core.ServiceID]*retry.Budget)}
 	closeCopies := gateway.copies.start(options.Placer)
+	closeLosses := gateway.losses.start(gateway)
 	return gateway, func() {
 		closeCopies()
+		closeLosses()
 		gateway.conns.Close()
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -82,7 +82,7 @@
 	sendCounts.Inc(call.kind().String(), event)
 	call.gateway.options.Logger.Info("A send failed.", "request", call.request.ID, "event", event, "upstream", attempt.selection.Upstream,
 		"zone", attempt.selection.Zone, "cost", attempt.selection.Cost, "sends", call.counts.Sends, "runs", call.counts.Runs,
-		"millis", time.Since(call.start).Milliseconds(), "error", err)
+		"events", call.events, "parts", call.request.Parts, "millis", time.Since(call.start).Milliseconds(), "error", err)
 }
 
 // exchange writes the request, reads the head of the response and handles the response.
@@ -135,6 +135,9 @@
 	case ctx.Err() == nil:
 		attempt.observe(fleet.Unreachable)
 		attempt.log(event, err)
+		if closedByUpstream(err) {
+			attempt.call.gateway.losses.add(attempt)
+		}
 	}
 	return tryAnother
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -62,6 +62,7 @@
 	if _, err := call.writer.Write(whole); err != nil {
 		return false
 	}
+	call.events += bytes.Count(whole, eventEnd)
 	return http.NewResponseController(call.writer).Flush() == nil
 }
 
--- a/pkg/core/id.go
+++ b/pkg/core/id.go
@@ -47,6 +47,9 @@
 // that the caller put into the request nor on the VM that received it.
 type Fingerprint string
 
+// PartID identifies a part of a prompt. Requests whose prompts begin alike share parts.
+type PartID string
+
 // KeyHash is the lower-case hexadecimal SHA-256 of a bearer key.
 type KeyHash string
 
