--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -288,6 +288,8 @@
 	Cost float64
 	// Weights is the key from the query.
 	Weights core.WeightKey
+	// Limit is the limit that the upstream has stated.
+	Limit core.RequestLimit
 }
 
 // Select selects the upstream with the lowest cost for a request and counts the request as
@@ -313,7 +315,7 @@
 	instance := found[at].instance
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone,
-		Revision: revision, Cost: cost, Weights: query.Weights,
+		Revision: revision, Cost: cost, Weights: query.Weights, Limit: found[at].stated.limit,
 	}, true
 }
 
@@ -351,7 +353,7 @@
 	table.countSend(known, query)
 	return Selection{
 		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone,
-		Revision: revision, Cost: table.candidate(now, known).Cost(), Weights: query.Weights,
+		Revision: revision, Cost: table.candidate(now, known).Cost(), Weights: query.Weights, Limit: known.stated.limit,
 	}, true
 }
 
@@ -436,6 +438,7 @@
 // engine. The caller holds the lock.
 func (table *Table) countSend(known *upstream, query Query) {
 	known.running++
+	known.stated.sends++
 	table.changedZones[known.instance.Zone] = true
 	if query.Weights.Model == "" {
 		return
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -21,6 +21,7 @@
 	// inFlight counts the requests in flight from this VM by weights.
 	inFlight map[core.WeightKey]int
 	failures failureShare
+	stated   statedLimit
 	// backoffUntil is the time until which no request is sent to it.
 	backoffUntil time.Duration
 	// connectFailures counts the successive results that were Unreachable.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -47,6 +47,10 @@
 	// Misdirected is set if the address belongs to another upstream now, or if the
 	// upstream does not hold the weights.
 	Misdirected bool
+	// Limit is the limit that the upstream states, and LimitUnreadable is set if it states
+	// one that cannot be read.
+	Limit           core.RequestLimit
+	LimitUnreadable bool
 }
 
 // Dialect translates between the HTTP headers of callers and upstreams and the types of
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,8 @@
 var (
 	requestCounts = telemetry.NewCounterFamily("dandelionring_requests_total", "kind", "outcome")
 	sendCounts    = telemetry.NewCounterFamily("dandelionring_sends_total", "kind", "result")
+	// limitedSends counts the sends to upstreams that state a limit.
+	limitedSends = telemetry.NewCounterFamily("dandelionring_limited_sends_total", "kind", "repeat")
 	// answerSeconds holds, by the kind of the route, the time from the arrival of a request
 	// until its response is forwarded: after the whole response was read, or at the first
 	// event of a stream.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -104,6 +104,15 @@
 	attempt.call.gateway.options.Table.Observe(clock.Now(), attempt.selection, result)
 }
 
+// observeLimit stores the limit that a response of the upstream states.
+func (attempt *attempt) observeLimit(limit core.RequestLimit) {
+	change, changed := attempt.call.gateway.options.Table.ObserveLimit(clock.Now(), attempt.selection, limit)
+	if changed {
+		attempt.call.gateway.options.Logger.Info("An upstream changed its limit.", "upstream", attempt.selection.Upstream, "limited", limit.Stated, "rate", limit.Rate,
+			"rate_before", change.Before.Rate, "lasted_millis", change.Lasted.Milliseconds(), "sends", change.Sends, "cost", attempt.selection.Cost)
+	}
+}
+
 // drop closes the connection and removes it from the pool.
 func (attempt *attempt) drop() {
 	attempt.call.gateway.conns.Drop(attempt.key, attempt.conn)
@@ -130,12 +139,18 @@
 		return attempt.connectionLost(ctx, "not written", err)
 	}
 	sendCounts.Inc(call.kind().String(), "sent")
+	if attempt.selection.Limit.Stated {
+		limitedSends.Inc(call.kind().String(), strconv.FormatBool(call.counts.Sends > 1))
+	}
 	response, info, err := attempt.readOwnResponse() //nolint:bodyclose // each branch reads the body and returns the connection to the pool or closes it
 	if err != nil {
 		call.counts.Runs++
 		attempt.drop()
 		return attempt.connectionLost(ctx, "no answer", err)
 	}
+	if !info.LimitUnreadable {
+		attempt.observeLimit(info.Limit)
+	}
 	switch {
 	case info.NotRun || info.Misdirected:
 		return attempt.handleRejection(response, info)
--- a/pkg/core/unit.go
+++ b/pkg/core/unit.go
@@ -12,6 +12,13 @@
 // RequestsPerSecond is a rate of requests.
 type RequestsPerSecond float64
 
+// RequestLimit is the rate of requests that an upstream takes from all VMs together. The
+// zero value states no limit.
+type RequestLimit struct {
+	Stated bool
+	Rate   RequestsPerSecond
+}
+
 // Priority is the scheduling priority of a request. Larger values are served
 // first; the zero value is the lowest priority.
 type Priority int
