--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
+	"github.com/dandelionring/dandelionring/pkg/policy/throttle"
 )
 
 // caller sends requests to other VMs.
@@ -96,6 +97,8 @@
 	cache         upstreamCache
 	// judge decides which content of requests crashes upstreams.
 	judge conviction.Judge
+	// throttles holds the limits of upstreams and grants turns at them.
+	throttles throttle.Table
 	// recordedRoutes is the number of the last route table that this VM, as the leader,
 	// wrote to the audit log.
 	recordedRoutes core.ConfigNumber
@@ -254,16 +257,18 @@
 	}
 }
 
-// snapshot returns all known upstreams, the weights of all owned engines and the verdicts,
-// for a subscriber that starts or has missed changes.
-func (control *Control) snapshot() ([]core.Instance, []fencedChange, []conviction.Verdict) {
+// snapshot returns all that a subscriber which starts or has missed changes must be sent: the
+// known upstreams, the weights of all owned engines, the verdicts and the limits. dirty is
+// kept in the result.
+func (control *Control) snapshot(dirty bool) pendingChanges {
+	now := clock.Now()
 	control.lock.Lock()
 	defer control.lock.Unlock()
-	var weights []fencedChange
+	all := pendingChanges{instances: control.known.All(), verdicts: control.judge.Verdicts(now), limits: control.throttles.Statements(now), dirty: dirty}
 	for _, zone := range control.owned {
 		for _, change := range zone.table.Snapshot() {
-			weights = append(weights, fencedChange{change, zone.token})
+			all.weights = append(all.weights, fencedChange{change, zone.token})
 		}
 	}
-	return control.known.All(), weights, control.judge.Verdicts(clock.Now())
+	return all
 }
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -46,6 +46,8 @@
 	case *wire.Request_CrashEvidence:
 		control.applyCrashEvidence(body.CrashEvidence)
 		return &wire.Response{Body: &wire.Response_CrashEvidenceResult{CrashEvidenceResult: &wire.CrashEvidenceResult{}}}, nil
+	case *wire.Request_Admit:
+		return &wire.Response{Body: &wire.Response_AdmitResult{AdmitResult: control.admit(body.Admit)}}, nil
 	case *wire.Request_Audit:
 		if control.options.Records != nil {
 			result := control.options.Records.Receive(ctx, body.Audit)
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
+	"github.com/dandelionring/dandelionring/pkg/policy/throttle"
 )
 
 // The times for which changes are batched before they are sent. Entry VMs of the own zone
@@ -45,6 +46,7 @@
 	instances map[core.UpstreamID]core.Instance
 	weights   []fencedChange
 	verdicts  map[conviction.Trait]conviction.Verdict
+	limits    map[throttle.Process]throttle.Statement
 	// dirty is set if anything other than instances and weights changed.
 	dirty bool
 	// overflow is set if changes of weights were dropped; a snapshot is sent then.
@@ -71,7 +73,8 @@
 	}
 	next := &subscriber{
 		vm: vm, local: local, control: control, revisionIndex: revisionIndex, signal: make(chan struct{}, 1),
-		instances: make(map[core.UpstreamID]core.Instance), verdicts: make(map[conviction.Trait]conviction.Verdict), dirty: true, overflow: true,
+		instances: make(map[core.UpstreamID]core.Instance), verdicts: make(map[conviction.Trait]conviction.Verdict), limits: make(map[throttle.Process]throttle.Statement),
+		dirty: true, overflow: true,
 	}
 	hub.subscribers[next] = struct{}{}
 	hub.markAllDirty()
@@ -159,6 +162,16 @@
 	}
 }
 
+// publishLimit queues the limit that an upstream has stated for all subscribers.
+func (hub *hub) publishLimit(statement throttle.Statement) {
+	hub.lock.Lock()
+	defer hub.lock.Unlock()
+	for subscriber := range hub.subscribers {
+		subscriber.limits[statement.Process] = statement
+		subscriber.wake()
+	}
+}
+
 // publishState makes every subscriber get the routes, revisions, owners and control VMs
 // after a change of them.
 func (hub *hub) publishState() {
@@ -172,6 +185,7 @@
 	instances []core.Instance
 	weights   []fencedChange
 	verdicts  []conviction.Verdict
+	limits    []throttle.Statement
 	dirty     bool
 	overflow  bool
 }
@@ -185,6 +199,8 @@
 		taken.instances = append(taken.instances, instance)
 	}
 	taken.verdicts = slices.Collect(maps.Values(subscriber.verdicts))
+	taken.limits = slices.Collect(maps.Values(subscriber.limits))
+	clear(subscriber.limits)
 	clear(subscriber.instances)
 	clear(subscriber.verdicts)
 	subscriber.weights, subscriber.dirty, subscriber.overflow = nil, false, false
@@ -223,7 +239,10 @@
 func (control *Control) buildEvent(subscriber *subscriber, pending pendingChanges) *wire.WatchEvent {
 	event := &wire.WatchEvent{}
 	if pending.overflow {
-		pending.instances, pending.weights, pending.verdicts = control.snapshot()
+		pending = control.snapshot(pending.dirty)
+	}
+	for _, limit := range pending.limits {
+		event.Limits = append(event.Limits, peer.StatedLimitMessage(limit))
 	}
 	for _, verdict := range pending.verdicts {
 		event.Verdicts = append(event.Verdicts, peer.VerdictMessage(verdict))
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -7,5 +7,8 @@
 	// verdictCounts counts verdicts by their status and by whether this VM or another one
 	// has reached them.
 	verdictCounts = telemetry.NewCounterFamily("dandelionring_verdicts_total", "status", "source")
-	placeCounts   = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// admissionCounts counts the turns at upstreams with a limit that were asked for, by
+	// whether they were granted and whether there was a wait.
+	admissionCounts = telemetry.NewCounterFamily("dandelionring_admissions_total", "admitted", "waited")
+	placeCounts     = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
--- a/internal/control/upstream_cache_test.go
+++ b/internal/control/upstream_cache_test.go
@@ -32,23 +32,23 @@
 
 	after := New(options, NewPeers(Peer{VM: "c", Zone: "z"}))
 	after.restoreUpstreams(0)
-	known, _, _ := after.snapshot()
+	known := after.snapshot(false).instances
 	is.Equal(len(known), 2) // a deregistered upstream is not restored
 	is.True(known[0].Silent && known[1].Silent)
 
 	after.Announce(upstream("a", 6))
 	after.expireRestored(restoredTTL - 1)
-	known, _, _ = after.snapshot()
+	known = after.snapshot(false).instances
 	is.True(!known[0].Silent)
 	is.True(!known[1].Gone)
 	after.expireRestored(restoredTTL)
-	known, _, _ = after.snapshot()
+	known = after.snapshot(false).instances
 	is.True(!known[0].Gone)
 	is.True(known[1].Gone)
 
 	is.NoErr(os.WriteFile(path, []byte(`[{"Upstream":`), cacheFileMode))
 	damaged := New(options, NewPeers(Peer{VM: "c", Zone: "z"}))
 	damaged.restoreUpstreams(0)
-	known, _, _ = damaged.snapshot()
+	known = damaged.snapshot(false).instances
 	is.Equal(len(known), 0)
 }
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -72,6 +72,9 @@
 	lock       sync.Mutex
 	watched    map[core.VMID]bool
 	controlVMs []ControlVM
+	// admitAfter holds the time until which an owner that did not answer is not asked for a
+	// turn at an upstream with a limit.
+	admitAfter map[core.VMID]time.Duration
 	// reporting holds the zones with a usage report in flight.
 	reporting map[core.ZoneID]bool
 	// wantedNumber is the largest route table number that a control VM has reported, and
@@ -85,8 +88,9 @@
 // and waits until its goroutines have ended.
 func Follow(options Options) (*Follower, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	follower := &Follower{options: options, ctx: ctx, fetching: make(chan struct{}, 1), watched: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool)}
+	follower := &Follower{options: options, ctx: ctx, fetching: make(chan struct{}, 1), watched: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool), admitAfter: make(map[core.VMID]time.Duration)}
 	follower.crashes.bans.VM = options.VM
+	options.Table.setVM(options.VM)
 	for _, seed := range options.Seeds {
 		follower.startWatch(seed)
 	}
@@ -97,6 +101,13 @@
 	}
 }
 
+// setVM sets the name of this VM.
+func (table *Table) setVM(vm core.VMID) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	table.vm = vm
+}
+
 // AddSeeds starts to watch further control VMs.
 func (follower *Follower) AddSeeds(seeds []core.VMID) {
 	for _, seed := range seeds {
@@ -171,6 +182,7 @@
 	for _, message := range event.GetResidency() {
 		table.SetResidency(peer.ResidencyFromMessage(message))
 	}
+	follower.applyLimits(event.GetLimits())
 	follower.applyVerdicts(vm, event.GetVerdicts())
 	if controls := event.GetControlVms(); len(controls) > 0 {
 		follower.setControlVMs(controls)
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -36,7 +36,9 @@
 // Table is the state that an entry VM knows and selects upstreams from. Use NewTable. Its
 // methods are safe for concurrent use.
 type Table struct {
-	zone  core.ZoneID
+	zone core.ZoneID
+	// vm is the name of this VM.
+	vm    core.VMID
 	index atomic.Pointer[route.Index]
 	// rotation counts the selections. It rotates among upstreams of equal cost.
 	rotation atomic.Uint32
@@ -322,6 +324,15 @@
 // canServe reports whether an upstream may be sent the query. An engine must hold the
 // weights in at least the given revision. The caller holds the lock.
 func (table *Table) canServe(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
+	if known.stated.limit.Stated && known.stated.heldUntil > now {
+		return false
+	}
+	return table.holdsFor(now, known, query, revision)
+}
+
+// holdsFor reports whether an upstream could serve the query if it stated no limit. The
+// caller holds the lock.
+func (table *Table) holdsFor(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
 	if known.backoffUntil > now || slices.Contains(query.Exclude, known.instance.Upstream) {
 		return false
 	}
@@ -336,7 +347,7 @@
 func (table *Table) candidate(now time.Duration, known *upstream) selection.Candidate {
 	return selection.Candidate{
 		Local: known.instance.Zone == table.zone, Running: known.running, Others: known.otherRunning,
-		Slots: known.instance.Slots, Faults: known.failures.value(now), Silent: known.instance.Silent,
+		Slots: known.instance.Slots, Faults: known.failures.value(now), Silent: known.instance.Silent, Limited: known.stated.limit.Stated && now-known.stated.at < limitRefresh,
 	}
 }
 
@@ -438,7 +449,6 @@
 // engine. The caller holds the lock.
 func (table *Table) countSend(known *upstream, query Query) {
 	known.running++
-	known.stated.sends++
 	table.changedZones[known.instance.Zone] = true
 	if query.Weights.Model == "" {
 		return
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -94,7 +94,7 @@
 			reason, call.retryAfter = "the content of the request crashes upstreams", left
 			break
 		}
-		selection, why, ok := call.chooseUpstream(ctx)
+		selection, why, ok := call.chooseAdmitted(ctx)
 		if !ok {
 			reason = why
 			break
@@ -143,9 +143,9 @@
 // chooseUpstream returns the upstream of the next send, and counts the request as running
 // there until Finish is called. It returns the reason and false if there is none. If no
 // engine holds the weights, or only engines with long queues, it asks the owners of the
-// zones' engines for another engine and waits for it.
-func (call *call) chooseUpstream(ctx context.Context) (fleet.Selection, string, bool) {
-	query := fleet.Query{Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Request: call.request.ID}
+// zones' engines for another engine and waits for it; not if turnsFirst is set and an upstream that
+// holds the weights is only passed over for the limit that it states.
+func (call *call) chooseUpstream(ctx context.Context, query fleet.Query, turnsFirst bool) (fleet.Selection, string, bool) {
 	table := call.gateway.options.Table
 	selection, ok := table.Select(clock.Now(), query)
 	if ok && (selection.Cost < extraCopyCost || query.Weights.Adapter == "") {
@@ -155,6 +155,9 @@
 		call.gateway.copies.request(query, selection.Upstream)
 		return selection, "", true
 	}
+	if !ok && turnsFirst && len(table.HeldBack(clock.Now(), query)) > 0 {
+		return selection, heldBack, false
+	}
 	if query.Weights.Model == "" {
 		return selection, "no upstream of the service can be reached", ok
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,6 +45,15 @@
 	Crashed(upstream core.UpstreamID, born int64, ago time.Duration, requests []conviction.Request)
 }
 
+// admitter keeps the requests of all VMs within the limits that upstreams state.
+type admitter interface {
+	// Admit waits for a turn at an upstream that states a limit, at most for the time wait. If
+	// there is none in that time, it returns false and the time until the next one.
+	Admit(ctx context.Context, selected fleet.Selection, wait time.Duration) (time.Duration, bool)
+	// ReportLimit reports that the limit of an upstream has changed.
+	ReportLimit(selected fleet.Selection)
+}
+
 // Options holds the dependencies and limits of a Gateway.
 type Options struct {
 	Table   *fleet.Table
@@ -56,7 +65,9 @@
 	Recorder recorder
 	// Crashes may be nil; requests that crash upstreams are not recognised then.
 	Crashes crashGuard
-	Logger  *log.Logger
+	// Limits may be nil; the limits of upstreams are not kept then.
+	Limits admitter
+	Logger *log.Logger
 }
 
 // Gateway is the HTTP handler for the requests of callers. Use New.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -108,8 +108,11 @@
 func (attempt *attempt) observeLimit(limit core.RequestLimit) {
 	change, changed := attempt.call.gateway.options.Table.ObserveLimit(clock.Now(), attempt.selection, limit)
 	if changed {
+		if limits := attempt.call.gateway.options.Limits; limits != nil {
+			limits.ReportLimit(attempt.selection)
+		}
 		attempt.call.gateway.options.Logger.Info("An upstream changed its limit.", "upstream", attempt.selection.Upstream, "limited", limit.Stated, "rate", limit.Rate,
-			"rate_before", change.Before.Rate, "lasted_millis", change.Lasted.Milliseconds(), "sends", change.Sends, "cost", attempt.selection.Cost)
+			"rate_before", change.Before.Rate, "lasted_millis", change.Lasted.Milliseconds(), "responses", change.Responses, "cost", attempt.selection.Cost)
 	}
 }
 
--- a/pkg/policy/selection/choose.go
+++ b/pkg/policy/selection/choose.go
@@ -13,6 +13,8 @@
 	Faults float64
 	// Silent is set while announcements of the upstream are overdue.
 	Silent bool
+	// Limited is set while the upstream states a limit of requests a second.
+	Limited bool
 }
 
 // Costs that are added to the relative load of a candidate, in which 1 is a fully used
@@ -24,6 +26,9 @@
 	// of its requests as unattractive as one with a full queue.
 	faultCost  = 3.0
 	silentCost = 1.5
+	// limitedCost leaves the turns at an upstream that states a limit to the requests that no
+	// other upstream can serve, as long as the others have free slots.
+	limitedCost = 1.0
 )
 
 // Cost returns the cost of sending one more request to the candidate. It is 1/Slots for an
@@ -37,6 +42,9 @@
 	if candidate.Silent {
 		cost += silentCost
 	}
+	if candidate.Limited {
+		cost += limitedCost
+	}
 	return cost + faultCost*candidate.Faults
 }
 
--- a/pkg/policy/selection/script_test.go
+++ b/pkg/policy/selection/script_test.go
@@ -38,6 +38,8 @@
 		switch name {
 		case "local":
 			candidate.Local = true
+		case "limited":
+			candidate.Limited = true
 		case "silent":
 			candidate.Silent = true
 		case "running":
