--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -53,6 +53,12 @@
 	LimitUnreadable bool
 }
 
+// statesLimit reports whether the response says what limit the upstream has. A response that
+// is not shown to be the upstream's own does not end a limit.
+func (info ResponseInfo) statesLimit() bool {
+	return !info.LimitUnreadable && !info.Misdirected && (info.Limit.Stated || info.Signed)
+}
+
 // Dialect translates between the HTTP headers of callers and upstreams and the types of
 // the gateway.
 type Dialect interface {
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -51,7 +51,9 @@
 
 func (testDialect) Classify(response *http.Response, request Request) ResponseInfo {
 	id := response.Header.Get("Id")
+	rate, err := strconv.ParseFloat(response.Header.Get("Limit"), 64)
 	return ResponseInfo{
+		Limit: core.RequestLimit{Stated: err == nil, Rate: core.RequestsPerSecond(rate)}, LimitUnreadable: err != nil && response.Header.Get("Limit") != "",
 		Identified: id != "",
 		Foreign:    id != "" && id != string(request.ID), Signed: response.Header.Get("Signed") != "",
 		NotRun: response.Header.Get("Not-Run") != "", Misdirected: response.StatusCode == http.StatusMisdirectedRequest,
@@ -280,7 +282,7 @@
 		fmt.Fprintf(&out, "log: %q", line.Message)
 		for _, field := range line.Fields {
 			switch field.Key {
-			case "millis", "cost", "error":
+			case "millis", "cost", "error", "lasted_millis":
 				field.Value = "#"
 			}
 			fmt.Fprintf(&out, " %s=%q", field.Key, field.Value)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -151,7 +151,7 @@
 		attempt.drop()
 		return attempt.connectionLost(ctx, "no answer", err)
 	}
-	if !info.LimitUnreadable {
+	if info.statesLimit() {
 		attempt.observeLimit(info.Limit)
 	}
 	switch {
