--- a/internal/control/conviction.go
+++ b/internal/control/conviction.go
@@ -31,10 +31,11 @@
 		control.options.Logger.Warn("A verdict on the content of requests.", "trait", verdict.Trait, "status", verdict.Status, "left", verdict.Left)
 	}
 	control.hub.publishVerdicts(changed)
+	control.mergeVerdicts(now, request.GetVerdicts())
 }
 
-// mergeVerdicts applies the verdicts of another control VM and passes on those that are
-// news, for VMs that cannot reach that one. The caller holds the lock.
+// mergeVerdicts applies the verdicts of another VM and passes on those that are news, for VMs
+// that cannot reach that one or have started since. The caller holds the lock.
 func (control *Control) mergeVerdicts(now time.Duration, messages []*wire.Verdict) {
 	var news []conviction.Verdict
 	for _, message := range messages {
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -132,23 +132,43 @@
 	follower.reportEvidence(&wire.CrashEvidence{Vm: string(follower.options.VM), Crashes: []*wire.Crash{peer.CrashMessage(crash)}})
 }
 
+// reportConvictions reports the convictions that this VM knows to a control VM that it has
+// just begun to follow. That one may have restarted, together with all others, and so know
+// none.
+func (follower *Follower) reportConvictions(vm core.VMID) {
+	evidence := &wire.CrashEvidence{Vm: string(follower.options.VM)}
+	follower.crashes.lock.Lock()
+	for _, verdict := range follower.crashes.bans.Convictions(clock.Now()) {
+		evidence.Verdicts = append(evidence.Verdicts, peer.VerdictMessage(verdict))
+	}
+	follower.crashes.lock.Unlock()
+	if len(evidence.Verdicts) > 0 {
+		follower.sendEvidence(vm, evidence)
+	}
+}
+
 // reportEvidence sends a report to all control VMs, each of which judges by itself.
 func (follower *Follower) reportEvidence(evidence *wire.CrashEvidence) {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
+	for vm := range follower.watched {
+		follower.sendEvidence(vm, evidence)
+	}
+}
+
+// sendEvidence sends a report to a control VM without waiting for it.
+func (follower *Follower) sendEvidence(vm core.VMID, evidence *wire.CrashEvidence) {
 	if follower.ctx.Err() != nil {
 		return
 	}
-	for vm := range follower.watched {
-		follower.running.Go(func() {
-			ctx, cancel := context.WithTimeout(follower.ctx, evidenceTimeout)
-			defer cancel()
-			_, err := follower.options.Calls.Call(ctx, vm, &wire.Request{Body: &wire.Request_CrashEvidence{CrashEvidence: evidence}})
-			if err != nil {
-				follower.options.Logger.Debug("A report on ended upstreams failed.", "control", vm, "error", err)
-			}
-		})
-	}
+	follower.running.Go(func() {
+		ctx, cancel := context.WithTimeout(follower.ctx, evidenceTimeout)
+		defer cancel()
+		_, err := follower.options.Calls.Call(ctx, vm, &wire.Request{Body: &wire.Request_CrashEvidence{CrashEvidence: evidence}})
+		if err != nil {
+			follower.options.Logger.Debug("A report on ended upstreams failed.", "control", vm, "error", err)
+		}
+	})
 }
 
 // applyVerdicts applies the verdicts of a control VM. It reports passes of suspected and
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"github.com/dandelionring/dandelionring/internal/peer"
@@ -20,10 +21,14 @@
 // judgingControlVMs accept reports on ended upstreams and send verdicts.
 type judgingControlVMs struct {
 	verdicts chan conviction.Verdict
+	// restart ends one watch.
+	restart chan struct{}
 
 	lock    sync.Mutex // no other lock is acquired while it is held
 	crashes map[core.VMID]int
 	passes  map[core.VMID][]string
+	// told holds the verdicts that the entry VM has reported.
+	told map[core.VMID][]string
 }
 
 func (controls *judgingControlVMs) Call(_ context.Context, vm core.VMID, request *wire.Request) (*wire.Response, error) {
@@ -34,12 +39,18 @@
 	for _, pass := range evidence.GetPasses() {
 		controls.passes[vm] = append(controls.passes[vm], pass.GetTrait())
 	}
+	for _, verdict := range evidence.GetVerdicts() {
+		controls.told[vm] = append(controls.told[vm], verdict.GetTrait())
+	}
 	return &wire.Response{}, nil
 }
 
 func (controls *judgingControlVMs) Stream(ctx context.Context, vm core.VMID, _ *wire.Request, receive func(*wire.Response) bool) error {
+	receive(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: &wire.WatchEvent{}}})
 	for {
 		select {
+		case <-controls.restart:
+			return errors.New("the control VM has ended")
 		case verdict := <-controls.verdicts:
 			event := &wire.WatchEvent{Verdicts: []*wire.Verdict{peer.VerdictMessage(verdict)}}
 			receive(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: event}})
@@ -55,7 +66,7 @@
 func TestVerdicts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		controls := &judgingControlVMs{verdicts: make(chan conviction.Verdict), crashes: make(map[core.VMID]int), passes: make(map[core.VMID][]string)}
+		controls := &judgingControlVMs{verdicts: make(chan conviction.Verdict), crashes: make(map[core.VMID]int), passes: make(map[core.VMID][]string), told: make(map[core.VMID][]string)}
 		follower, stop := Follow(Options{VM: "entry", Zone: "z", Seeds: []core.VMID{"c1", "c2"}, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
 		defer stop()
 		sound := conviction.NewRequest("1", []core.PartID{"first", "last"})
@@ -89,3 +100,24 @@
 		is.Equal(controls.passes, map[core.VMID][]string{"c1": {"part:first"}, "c2": {"part:first"}})
 	})
 }
+
+// TestVerdictsOutliveControlVMs guards against control VMs that have forgotten a conviction
+// since all of them have restarted: entry VMs that start then would send its requests to
+// engines again.
+func TestVerdictsOutliveControlVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		controls := &judgingControlVMs{verdicts: make(chan conviction.Verdict), restart: make(chan struct{}), crashes: make(map[core.VMID]int), passes: make(map[core.VMID][]string), told: make(map[core.VMID][]string)}
+		_, stop := Follow(Options{VM: "entry", Zone: "z", Seeds: []core.VMID{"c1"}, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
+		defer stop()
+		controls.verdicts <- conviction.Verdict{Trait: "part:bad", Status: conviction.Convicted, Left: time.Minute}
+		controls.verdicts <- conviction.Verdict{Trait: "part:first", Status: conviction.Suspected, Left: time.Minute}
+		synctest.Wait()
+		controls.restart <- struct{}{}
+		<-time.After(2 * watchRetryDelay)
+		synctest.Wait()
+		controls.lock.Lock()
+		defer controls.lock.Unlock()
+		is.Equal(controls.told, map[core.VMID][]string{"c1": {"part:bad"}})
+	})
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -136,11 +136,15 @@
 			Vm: string(follower.options.VM), Zone: string(follower.options.Zone),
 		}}}
 		err := follower.options.Calls.Stream(follower.ctx, vm, request, func(response *wire.Response) bool {
-			if !connected {
+			first := !connected
+			if first {
 				connected = true
 				follower.options.Logger.Info("Following a control VM.", "control", vm)
 			}
 			follower.applyWatchEvent(vm, response.GetWatchEvent())
+			if first {
+				follower.reportConvictions(vm)
+			}
 			return true
 		})
 		if connected && follower.ctx.Err() == nil {
--- a/pkg/policy/conviction/bans.go
+++ b/pkg/policy/conviction/bans.go
@@ -1,6 +1,8 @@
 package conviction
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +25,9 @@
 	trial Trait
 }
 
+// clearance is the time of a clearance, and the time until which it is remembered.
+type clearance struct{ since, until time.Duration }
+
 // Bans holds the verdicts that an entry VM knows. Set VM before the first use; otherwise the
 // zero value is ready to use. Times are readings of a monotonic clock that continues while
 // the machine is suspended. A Bans is not safe for concurrent use.
@@ -31,9 +36,8 @@
 	VM core.VMID
 
 	bans map[Trait]*ban
-	// cleared holds the time of the last clearance by trait, for as long as it can be
-	// younger than a conviction that arrives.
-	cleared map[Trait]time.Duration
+	// cleared holds the last clearance by trait. An older conviction may arrive after it.
+	cleared map[Trait]clearance
 	// watched holds the time until which passes of a suspected trait are reported.
 	watched map[Trait]time.Duration
 }
@@ -41,12 +45,12 @@
 // Apply applies a verdict of a control VM, unless a younger one is known.
 func (bans *Bans) Apply(now time.Duration, verdict Verdict) {
 	if bans.bans == nil {
-		bans.bans, bans.cleared, bans.watched = make(map[Trait]*ban), make(map[Trait]time.Duration), make(map[Trait]time.Duration)
+		bans.bans, bans.cleared, bans.watched = make(map[Trait]*ban), make(map[Trait]clearance), make(map[Trait]time.Duration)
 	}
 	bans.expire(now)
 	since := now - verdict.Age
 	cleared, wasCleared := bans.cleared[verdict.Trait]
-	if verdict.Left <= 0 || wasCleared && cleared >= since {
+	if verdict.Left <= 0 || wasCleared && cleared.since >= since {
 		return
 	}
 	current := bans.bans[verdict.Trait]
@@ -67,9 +71,21 @@
 			delete(bans.bans, verdict.Trait)
 		}
 		if len(bans.cleared) < maxTraits {
-			bans.cleared[verdict.Trait] = since
+			bans.cleared[verdict.Trait] = clearance{since: since, until: now + verdict.Left}
+		}
+	}
+}
+
+// Convictions returns the convictions in force, sorted by trait.
+func (bans *Bans) Convictions(now time.Duration) []Verdict {
+	var all []Verdict
+	for trait, current := range bans.bans {
+		if now < current.until {
+			all = append(all, Verdict{Trait: trait, Status: Convicted, Age: now - current.since, Left: current.until - now})
 		}
 	}
+	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Trait, b.Trait) })
+	return all
 }
 
 // expire removes what has ended.
@@ -79,8 +95,8 @@
 			delete(bans.bans, trait)
 		}
 	}
-	for trait, since := range bans.cleared {
-		if now-since >= evidenceMemory {
+	for trait, cleared := range bans.cleared {
+		if now >= cleared.until {
 			delete(bans.cleared, trait)
 		}
 	}
--- a/pkg/policy/conviction/judge.go
+++ b/pkg/policy/conviction/judge.go
@@ -139,7 +139,12 @@
 	if current == nil || current.status == Cleared || current.firstEnd >= now-age || judge.endsSincePass(trait) >= endsToConvict {
 		return nil
 	}
-	*current = judgement{status: Cleared, since: now, until: now + evidenceMemory}
+	until := now + evidenceMemory
+	if current.status == Convicted {
+		// A VM that was cut off may still report the conviction until its end.
+		until = max(until, current.until)
+	}
+	*current = judgement{status: Cleared, since: now, until: until}
 	return []Verdict{current.verdict(now, trait)}
 }
 
--- a/pkg/policy/conviction/script_test.go
+++ b/pkg/policy/conviction/script_test.go
@@ -57,6 +57,8 @@
 	case "apply":
 		script.bans.Apply(now, parseVerdict(data.Input, age, left))
 		return ""
+	case "convictions":
+		return renderVerdicts(script.bans.Convictions(now))
 	case "refuse":
 		vms := 1
 		data.MaybeScanArgs(t, "vms", &vms)
