--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -27,8 +27,8 @@
 )
 
 // endedUpstreams counts the upstream processes that ended while they had requests of this
-// VM, by the result of the check that followed the loss of a connection, and by whether a
-// caller had received no event of its response.
+// VM, by the result of the check that followed the loss of a connection, and by whether one
+// of the requests had received fewer than passedEvents events.
 var endedUpstreams = telemetry.NewCounterFamily("dandelionring_lost_upstreams_total", "result", "unanswered")
 
 // closedByUpstream reports whether an error states that the upstream has closed or reset
