Log the software versions between which streams are continued

Cause: no line said that a stream goes on at a second upstream, and no part of the product read the version in an upstream's announcement or the request that a caller names as the origin of its stream. The hypotheses on joined streams could not be told apart. Change: core.SoftwareVersion in announcements, in the messages between VMs and in selections; the field software of A send failed.; the line A stream is continued. and dandelionring_continued_streams_total.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -283,6 +283,8 @@
 	Born     int64
 	Address  string
 	Zone     core.ZoneID
+	// Software is the version of the upstream's software, empty if unknown.
+	Software core.SoftwareVersion
 	// Revision is the revision of the adapter that a request must run with, zero if none
 	// was named.
 	Revision core.Revision
@@ -316,7 +318,7 @@
 	table.countSend(found[at], query)
 	instance := found[at].instance
 	return Selection{
-		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone,
+		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: instance.Software,
 		Revision: revision, Cost: cost, Weights: query.Weights, Limit: found[at].stated.limit,
 	}, true
 }
@@ -363,7 +365,7 @@
 	}
 	table.countSend(known, query)
 	return Selection{
-		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone,
+		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.instance.Software,
 		Revision: revision, Cost: table.candidate(now, known).Cost(), Weights: query.Weights, Limit: known.stated.limit,
 	}, true
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,9 @@
 	// lastEvent is the ID of the last event that was sent to the caller, or that the
 	// caller named in its request.
 	lastEvent string
+	// software is the version of the upstream that wrote the last events which were sent to
+	// the caller, empty if there are none.
+	software core.SoftwareVersion
 	// events is the number of events that were sent to the caller.
 	events int
 	// outcome is core.Ran once the last send has ended with a complete response, and 0
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -18,6 +18,9 @@
 	// LastEvent is the ID of the event after which a stream is resumed, empty for a new
 	// stream.
 	LastEvent string
+	// Origin is the request whose answer brought the first event of a stream that is resumed,
+	// empty if the caller does not name it.
+	Origin core.RequestID
 	// Parts are the parts of the prompt in order, empty if the request does not state them.
 	Parts []core.PartID
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -14,6 +14,10 @@
 	sendCounts    = telemetry.NewCounterFamily("dandelionring_sends_total", "kind", "result")
 	// limitedSends counts the sends to upstreams that state a limit.
 	limitedSends = telemetry.NewCounterFamily("dandelionring_limited_sends_total", "kind", "repeat")
+	// continuedStreams counts the sends that continue a stream, within one answer or after a
+	// caller has named its last event, by whether the software version is that of the events
+	// before.
+	continuedStreams = telemetry.NewCounterFamily("dandelionring_continued_streams_total", "source", "software")
 	// answerSeconds holds, by the kind of the route, the time from the arrival of a request
 	// until its response is forwarded: after the whole response was read, or at the first
 	// event of a stream.
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -183,7 +183,7 @@
 			}
 		}()
 		table.SetInstance(clock.Now(), core.Instance{
-			Upstream: core.UpstreamID(fmt.Sprintf("u%d", i)), Born: 1, Sequence: 1, Service: "s", Address: listener.Addr().String(), Zone: "z", Slots: 4,
+			Upstream: core.UpstreamID(fmt.Sprintf("u%d", i)), Born: 1, Sequence: 1, Service: "s", Software: "v1", Address: listener.Addr().String(), Zone: "z", Slots: 4,
 		})
 	}
 	return table
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -87,6 +87,9 @@
 		return tryAnother
 	}
 	attempt.conn = conn
+	if call.lastEvent != "" {
+		attempt.logContinuation()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if !attempt.begin(cancel) {
@@ -126,10 +129,29 @@
 	call := attempt.call
 	sendCounts.Inc(call.kind().String(), event)
 	call.gateway.options.Logger.Info("A send failed.", "request", call.request.ID, "event", event, "upstream", attempt.selection.Upstream,
-		"zone", attempt.selection.Zone, "cost", attempt.selection.Cost, "sends", call.counts.Sends, "runs", call.counts.Runs,
+		"software", attempt.selection.Software, "zone", attempt.selection.Zone, "cost", attempt.selection.Cost, "sends", call.counts.Sends, "runs", call.counts.Runs,
 		"events", call.events, "parts", call.request.Parts, "millis", time.Since(call.start).Milliseconds(), "error", err)
 }
 
+// logContinuation counts and logs a send that continues a stream after its last event.
+func (attempt *attempt) logContinuation() {
+	call := attempt.call
+	source := "caller"
+	if call.events > 0 {
+		source = "answer"
+	}
+	software := "same"
+	switch {
+	case call.software == "" || attempt.selection.Software == "":
+		software = "unknown"
+	case call.software != attempt.selection.Software:
+		software = "other"
+	}
+	continuedStreams.Inc(source, software)
+	call.gateway.options.Logger.Info("A stream is continued.", "request", call.request.ID, "source", source, "origin", call.request.Origin, "last_event", call.lastEvent,
+		"software_before", call.software, "software", attempt.selection.Software, "upstream", attempt.selection.Upstream, "sends", call.counts.Sends)
+}
+
 // exchange writes the request, reads the head of the response and handles the response.
 func (attempt *attempt) exchange(ctx context.Context) nextStep {
 	call := attempt.call
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -74,6 +74,7 @@
 	}
 	count := bytes.Count(whole, eventEnd)
 	call.events += count
+	call.software = attempt.selection.Software
 	if attempt.events < passedEvents && attempt.events+count >= passedEvents {
 		attempt.passed()
 	}
--- a/internal/peer/fleet.go
+++ b/internal/peer/fleet.go
@@ -13,7 +13,7 @@
 func InstanceMessage(instance core.Instance) *wire.InstanceState {
 	message := &wire.InstanceState{
 		Upstream: string(instance.Upstream), BornUnixMillis: instance.Born, Sequence: instance.Sequence,
-		Service: string(instance.Service), Address: instance.Address, Zone: string(instance.Zone),
+		Service: string(instance.Service), Software: string(instance.Software), Address: instance.Address, Zone: string(instance.Zone),
 		Slots: uint32(instance.Slots), Leaving: instance.Leaving, Gone: instance.Gone, Silent: instance.Silent,
 	}
 	for _, model := range instance.Models {
@@ -32,7 +32,7 @@
 func InstanceFromMessage(message *wire.InstanceState) core.Instance {
 	instance := core.Instance{
 		Upstream: core.UpstreamID(message.GetUpstream()), Born: message.GetBornUnixMillis(), Sequence: message.GetSequence(),
-		Service: core.ServiceID(message.GetService()), Address: message.GetAddress(), Zone: core.ZoneID(message.GetZone()),
+		Service: core.ServiceID(message.GetService()), Software: core.SoftwareVersion(message.GetSoftware()), Address: message.GetAddress(), Zone: core.ZoneID(message.GetZone()),
 		Slots: int(message.GetSlots()), Leaving: message.GetLeaving(), Gone: message.GetGone(), Silent: message.GetSilent(),
 	}
 	for _, weights := range message.GetWeights() {
--- a/pkg/core/route.go
+++ b/pkg/core/route.go
@@ -9,6 +9,10 @@
 // number. Zero means that no version was specified.
 type Revision uint64
 
+// SoftwareVersion identifies the software that an upstream runs, as opposed to its weights.
+// What two versions write for one request does not fit together. Empty means unknown.
+type SoftwareVersion string
+
 // Weight is the relative share of a route's requests that one target receives.
 type Weight float64
 
@@ -170,6 +174,8 @@
 	// Sequence increases with each announcement of one process.
 	Sequence uint64
 	Service  ServiceID
+	// Software is the version of the software that the process runs, empty if unknown.
+	Software SoftwareVersion
 	Address  string
 	Zone     ZoneID
 	// Slots is the number of requests that it can run concurrently.
--- a/pkg/policy/membership/table.go
+++ b/pkg/policy/membership/table.go
@@ -88,7 +88,7 @@
 // equalForSenders reports whether two states are equal in all fields that matter to VMs
 // that send requests. Sequence and the adapters of the models do not matter.
 func equalForSenders(a, b core.Instance) bool {
-	return a.Upstream == b.Upstream && a.Born == b.Born && a.Service == b.Service && a.Address == b.Address &&
+	return a.Upstream == b.Upstream && a.Born == b.Born && a.Service == b.Service && a.Software == b.Software && a.Address == b.Address &&
 		a.Zone == b.Zone && a.Slots == b.Slots && a.Leaving == b.Leaving && a.Gone == b.Gone && a.Silent == b.Silent &&
 		slices.EqualFunc(a.Models, b.Models, func(x, y core.ModelResidency) bool { return x.Model == y.Model })
 }
