Continue an answer only at the software version that began it

Callers got answers whose first events one software version of an upstream wrote and whose last events another one wrote. Cause: an entry VM that resumed a stream chose among all upstreams of the service; the version in the announcement was not read. TestResumedAnswerKeepsItsVersion failed before with 22 of 24 answers joined. Change: package origin holds the rule. A query for an upstream, and a request for an engine with weights, states the software that the upstream must have. An answer whose version has no further upstream, or is not known, is broken off at once. Before the first event a request may still go anywhere.

--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -13,6 +13,7 @@
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
@@ -162,7 +163,7 @@
 		level = log.InfoLevel
 	}
 	control.options.Logger.Log(level, "An engine was asked for.", "request", request.GetRequest(), "weights", request.GetModel()+"/"+request.GetAdapter(), "revision", request.GetRevision(),
-		"exclude", request.GetExclude(), "wait_millis", request.GetWaitMillis(), "placed", result.GetPlaced(), "upstream", result.GetUpstream(), "reason", result.GetReason())
+		"exclude", request.GetExclude(), "software", request.GetSoftware(), "wait_millis", request.GetWaitMillis(), "placed", result.GetPlaced(), "upstream", result.GetUpstream(), "reason", result.GetReason())
 	return result
 }
 
@@ -173,6 +174,7 @@
 		Service:  core.ServiceID(request.GetService()),
 		Weights:  core.WeightKey{Model: core.ModelID(request.GetModel()), Adapter: core.AdapterID(request.GetAdapter())},
 		Revision: core.Revision(request.GetRevision()),
+		Origin:   origin.Requirement{Continues: request.GetSoftware() != "", Software: core.SoftwareVersion(request.GetSoftware())},
 	}
 	for _, id := range request.GetExclude() {
 		query.Exclude = append(query.Exclude, core.UpstreamID(id))
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -382,7 +382,7 @@
 		}
 		upstream, ownerReason, final := follower.askOwner(ctx, owner, &wire.Place{
 			Service: string(query.Service), Model: string(query.Weights.Model), Adapter: string(query.Weights.Adapter),
-			Revision: uint64(revision), Exclude: exclude, Request: string(query.Request), WaitMillis: timeLeft.Milliseconds(),
+			Revision: uint64(revision), Exclude: exclude, Software: string(query.Origin.Software), Request: string(query.Request), WaitMillis: timeLeft.Milliseconds(),
 		}, timeLeft)
 		if upstream != "" {
 			return upstream, ""
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -12,6 +12,7 @@
 
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/policy/route"
 	"github.com/dandelionring/dandelionring/pkg/policy/selection"
@@ -209,7 +210,7 @@
 	defer table.lock.Unlock()
 	engines := make(map[core.ZoneID]int)
 	for _, known := range table.services[query.Service] {
-		if !known.instance.Silent {
+		if !known.instance.Silent && query.Origin.Allows(known.instance.Software) {
 			engines[known.instance.Zone]++
 		}
 	}
@@ -273,6 +274,8 @@
 	Weights core.WeightKey
 	// Exclude lists the upstreams that were already tried.
 	Exclude []core.UpstreamID
+	// Origin states which software the upstream must have.
+	Origin origin.Requirement
 	// Request is the id of the waiting request, for the log.
 	Request core.RequestID
 }
@@ -323,6 +326,16 @@
 	}, true
 }
 
+// HasSoftware reports whether an upstream that takes requests and is not excluded has the
+// software that the query asks for, whatever weights it holds.
+func (table *Table) HasSoftware(query Query) bool {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return slices.ContainsFunc(table.services[query.Service], func(known *upstream) bool {
+		return query.Origin.Allows(known.instance.Software) && !slices.Contains(query.Exclude, known.instance.Upstream)
+	})
+}
+
 // canServe reports whether an upstream may be sent the query. An engine must hold the
 // weights in at least the given revision. The caller holds the lock.
 func (table *Table) canServe(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
@@ -335,7 +348,7 @@
 // holdsFor reports whether an upstream could serve the query if it stated no limit. The
 // caller holds the lock.
 func (table *Table) holdsFor(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
-	if known.backoffUntil > now || slices.Contains(query.Exclude, known.instance.Upstream) {
+	if known.backoffUntil > now || slices.Contains(query.Exclude, known.instance.Upstream) || !query.Origin.Allows(known.instance.Software) {
 		return false
 	}
 	if query.Weights.Model == "" {
@@ -360,7 +373,7 @@
 	defer table.lock.Unlock()
 	known := table.upstreams[id]
 	revision := table.revisions[query.Weights]
-	if known == nil || !known.usable() || known.backoffUntil > now {
+	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.instance.Software) {
 		return Selection{}, false
 	}
 	table.countSend(known, query)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
 
@@ -97,6 +98,10 @@
 			reason, call.retryAfter = "the content of the request crashes upstreams", left
 			break
 		}
+		if !call.origin().Possible() {
+			reason = unknownSoftware
+			break
+		}
 		selection, why, ok := call.chooseAdmitted(ctx)
 		if !ok {
 			reason = why
@@ -143,6 +148,17 @@
 	return 0, false
 }
 
+// The reasons why a stream that has begun is not continued.
+const (
+	noSoftware      = "no further upstream has the software version that began the stream"
+	unknownSoftware = "the software version that began the stream is not known"
+)
+
+// origin returns the software that the upstream of the next send must have.
+func (call *call) origin() origin.Requirement {
+	return origin.Requirement{Continues: call.events > 0, Software: call.software}
+}
+
 // chooseUpstream returns the upstream of the next send, and counts the request as running
 // there until Finish is called. It returns the reason and false if there is none. If no
 // engine holds the weights, or only engines with long queues, it asks the owners of the
@@ -158,6 +174,9 @@
 		call.gateway.copies.request(query, selection.Upstream)
 		return selection, "", true
 	}
+	if !ok && query.Origin.Continues && !table.HasSoftware(query) {
+		return selection, noSoftware, false
+	}
 	if !ok && turnsFirst && len(table.HeldBack(clock.Now(), query)) > 0 {
 		return selection, heldBack, false
 	}
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -72,6 +72,10 @@
 
 // scriptedUpstreams are test upstreams that send scripted responses in order.
 type scriptedUpstreams struct {
+	// software holds the versions of the upstreams in order. If it is empty, they all have the
+	// same one, and the sends do not name the upstream.
+	software []string
+
 	lock     sync.Mutex // no other lock is acquired while it is held
 	answers  []string
 	received []string
@@ -84,6 +88,9 @@
 	if last := request.Header.Get("Last"); last != "" {
 		line += " last=" + last
 	}
+	if len(upstreams.software) > 0 {
+		line += " to=" + request.Header.Get("To")
+	}
 	upstreams.received = append(upstreams.received, line)
 	if len(upstreams.answers) == 0 {
 		return "HTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n"
@@ -168,6 +175,10 @@
 func (upstreams *scriptedUpstreams) start(t *testing.T, count int) *fleet.Table {
 	table := fleet.NewTable("z")
 	for i := range count {
+		software := core.SoftwareVersion("v1")
+		if i < len(upstreams.software) {
+			software = core.SoftwareVersion(upstreams.software[i])
+		}
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -183,7 +194,7 @@
 			}
 		}()
 		table.SetInstance(clock.Now(), core.Instance{
-			Upstream: core.UpstreamID(fmt.Sprintf("u%d", i)), Born: 1, Sequence: 1, Service: "s", Software: "v1", Address: listener.Addr().String(), Zone: "z", Slots: 4,
+			Upstream: core.UpstreamID(fmt.Sprintf("u%d", i)), Born: 1, Sequence: 1, Service: "s", Software: software, Address: listener.Addr().String(), Zone: "z", Slots: 4,
 		})
 	}
 	return table
@@ -222,6 +233,8 @@
 			count, _ = strconv.Atoi(arg.Vals[0])
 		case "requests":
 			requests, _ = strconv.Atoi(arg.Vals[0])
+		case "software":
+			upstreams.software, count = arg.Vals, len(arg.Vals)
 		case "kind":
 			kind = arg.Vals[0]
 		case "weights":
--- a/pkg/policy/residency/engine.go
+++ b/pkg/policy/residency/engine.go
@@ -66,9 +66,11 @@
 	address string
 	spec    core.EngineSpec
 	service core.ServiceID
-	leaving bool
-	slots   int
-	running int
+	// software is the version of the engine's software.
+	software core.SoftwareVersion
+	leaving  bool
+	slots    int
+	running  int
 
 	// synced is false until a report has been processed. reportAfter is the earliest time
 	// at which a report is requested.
--- a/pkg/policy/residency/place.go
+++ b/pkg/policy/residency/place.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
 // PlacementStatus is the result of a Query.
@@ -32,6 +33,8 @@
 	Revision core.Revision
 	// Exclude lists engines that the caller found at capacity or failing.
 	Exclude []core.UpstreamID
+	// Origin states which software the engine must have.
+	Origin origin.Requirement
 }
 
 // The coefficients of the placement cost. A warm load saves about 220 ms of 250 ms. The
@@ -114,9 +117,9 @@
 }
 
 // eligible reports whether the engine may answer the query: it belongs to the service, is
-// synced, is not leaving, and is not excluded.
+// synced, is not leaving, has the software, and is not excluded.
 func (table *Table) eligible(engine *engine, query Query) bool {
-	return engine.service == query.Service && engine.synced && !engine.leaving && !slices.Contains(query.Exclude, engine.id)
+	return engine.service == query.Service && engine.synced && !engine.leaving && query.Origin.Allows(engine.software) && !slices.Contains(query.Exclude, engine.id)
 }
 
 // cheapestEngine returns the engine with the lowest placement cost for the weights, or
--- a/pkg/policy/residency/script_test.go
+++ b/pkg/policy/residency/script_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
 // script runs the commands of a test data file against a Table. Times are in milliseconds.
@@ -37,7 +38,7 @@
 	case "engine":
 		script.table.SetEngine(now, core.Instance{
 			Upstream: id, Born: intArg(data, "born"), Service: "s", Address: "a", Slots: 4,
-			Leaving: data.HasArg("leaving"), Gone: data.HasArg("gone"),
+			Software: core.SoftwareVersion(textArg(data, "software")), Leaving: data.HasArg("leaving"), Gone: data.HasArg("gone"),
 		}, core.EngineSpec{
 			Models: []core.BaseModel{{Model: "m", Size: 100, AdapterSize: 1, LoadTime: time.Second}},
 			Memory: 110, Places: max(2, int(intArg(data, "places"))), LoadRate: core.LoadsPerSecond(intArg(data, "rate")) / 10,
@@ -73,6 +74,9 @@
 
 func (script *script) place(now time.Duration, data *datadriven.TestData) string {
 	query := Query{Service: "s", Weights: parseKey(textArg(data, "weights")), Revision: core.Revision(intArg(data, "revision"))}
+	if software := textArg(data, "software"); software != "" {
+		query.Origin = origin.Requirement{Continues: true, Software: core.SoftwareVersion(software)}
+	}
 	if excluded := textArg(data, "exclude"); excluded != "" {
 		query.Exclude = append(query.Exclude, core.UpstreamID(excluded))
 	}
--- a/pkg/policy/residency/table.go
+++ b/pkg/policy/residency/table.go
@@ -49,6 +49,7 @@
 		table.engines[instance.Upstream] = current
 	}
 	current.address, current.service, current.slots = instance.Address, instance.Service, instance.Slots
+	current.software = instance.Software
 	current.leaving = instance.Leaving || instance.Silent
 	current.spec = spec
 }
