Continue a caller's stream only at the software version that began it

Callers who took a broken stream up again at another entry VM got status 200 and events of another software version than those that they had. Cause: Resumes was not read, and which upstream had begun a stream was in the memory of the entry VM that had forwarded it, for one answer only. Change: the audit record of each send of a stream names the version. Control VMs keep the newest of them, read them from the disk after a start, and answer OriginQuery. An entry VM sends the stream to the service and version that began it, and refuses it with 503 if these are not known or do not serve any more. A repeat before the first event at another version awaits its record.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -68,6 +68,8 @@
 	Engines Engines
 	// Jobs runs the orders to engines.
 	Jobs *pool.Pool
+	// RecordFolder is the folder of the audit records on the disk of this VM; empty for none.
+	RecordFolder string
 	// Records stores audit records. If it is nil, this VM neither writes records nor
 	// accepts those of others.
 	Records records
@@ -78,6 +80,7 @@
 type Control struct {
 	options Options
 	hub     hub
+	origins origins
 	peers   *Peers
 	changed chan struct{}
 
@@ -163,6 +166,9 @@
 	}
 	control.lock.Unlock()
 	var running sync.WaitGroup
+	if control.options.RecordFolder != "" {
+		running.Go(func() { control.origins.restore(control.options.RecordFolder, control.options.Logger) })
+	}
 	running.Go(func() { control.followState(ctx) })
 	running.Go(func() { control.saveLoop(ctx) })
 	running.Go(func() { control.renewLoop(ctx) })
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -48,7 +49,10 @@
 		return &wire.Response{Body: &wire.Response_CrashEvidenceResult{CrashEvidenceResult: &wire.CrashEvidenceResult{}}}, nil
 	case *wire.Request_Admit:
 		return &wire.Response{Body: &wire.Response_AdmitResult{AdmitResult: control.admit(body.Admit)}}, nil
+	case *wire.Request_OriginQuery:
+		return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: control.answerOriginQuery(ctx, body.OriginQuery)}}, nil
 	case *wire.Request_Audit:
+		control.origins.addBatch(clock.Now(), body.Audit)
 		if control.options.Records != nil {
 			result := control.options.Records.Receive(ctx, body.Audit)
 			return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -10,5 +10,8 @@
 	// admissionCounts counts the turns at upstreams with a limit that were asked for, by
 	// whether they were granted and whether there was a wait.
 	admissionCounts = telemetry.NewCounterFamily("dandelionring_admissions_total", "admitted", "waited")
-	placeCounts     = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// originCounts counts the questions about the origins of streams, by whether the origin
+	// was found and whether the question waited for it.
+	originCounts = telemetry.NewCounterFamily("dandelionring_origin_queries_total", "found", "waited")
+	placeCounts  = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
--- /dev/null
+++ b/internal/control/origin_test.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/audit"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
+)
+
+// startRecord returns the audit record of a send of a stream.
+func startRecord(request string, send int, software core.SoftwareVersion) audit.Record {
+	return audit.Record{
+		VM: "e1", Incarnation: "i1", Event: audit.EventStart, Request: core.RequestID(request), Attempt: core.AttemptID(fmt.Sprintf("%s/%d", request, send)),
+		Service: "s", Upstream: "u1", Software: software,
+	}
+}
+
+func encodeRecord(t *testing.T, record audit.Record) audit.Payload {
+	t.Helper()
+	payload, err := audit.Encode(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return payload
+}
+
+// TestOriginsFromRecords guards against an origin that a batch of audit records states and that
+// is not found, or found for records that state none: ends, sends without a known version, and
+// content that is no record.
+func TestOriginsFromRecords(t *testing.T) {
+	is := is.New(t)
+	end := startRecord("r3", 1, "v1")
+	end.Event = audit.EventEnd
+	odd := startRecord("r5", 1, "v1")
+	odd.Attempt = "r5"
+	batch := &wire.Audit{}
+	for _, payload := range []audit.Payload{
+		encodeRecord(t, startRecord("r1", 2, "v2")), encodeRecord(t, startRecord("r1", 1, "v1")), encodeRecord(t, startRecord("r2", 1, "")),
+		encodeRecord(t, end), encodeRecord(t, odd), audit.Payload(`{"Software":7}`), audit.Payload(`{"Software":`),
+	} {
+		batch.Entries = append(batch.Entries, &wire.AuditEntry{Record: payload})
+	}
+	var known origins
+	known.addBatch(clock.Now(), batch)
+	from, found, waited := known.await(t.Context(), "r1", 0)
+	is.True(found)
+	is.True(!waited)
+	is.Equal(from, origin.Origin{Service: "s", Software: "v2", Send: 2})
+	for _, request := range []core.RequestID{"r2", "r3", "r5", "unknown"} {
+		_, found, _ := known.await(t.Context(), request, 0)
+		is.True(!found)
+	}
+	is.Equal(known.waiters, 0)
+	is.Equal(len(known.waiting), 0)
+}
+
+// TestOriginIsAwaited guards against a caller that takes a stream up before the record of its
+// beginning has arrived, and is refused although the record is on its way.
+func TestOriginIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var known origins
+		started := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			known.add(clock.Now(), startRecord("r1", 1, "v1"))
+		}()
+		from, found, waited := known.await(t.Context(), "r1", 400*time.Millisecond)
+		is.True(found)
+		is.True(waited)
+		is.Equal(from.Software, core.SoftwareVersion("v1"))
+		is.Equal(time.Since(started), 100*time.Millisecond)
+
+		started = time.Now()
+		_, found, _ = known.await(t.Context(), "r2", 400*time.Millisecond)
+		is.True(!found)
+		is.Equal(time.Since(started), 400*time.Millisecond)
+
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		started = time.Now()
+		_, found, _ = known.await(ctx, "r2", 400*time.Millisecond)
+		is.True(!found)
+		is.Equal(time.Since(started), 50*time.Millisecond)
+		is.Equal(known.waiters, 0)
+		is.Equal(len(known.waiting), 0)
+	})
+}
+
+// TestOriginWaitersAreBounded guards against a flood of requests that name streams which never
+// began: those over the bound are answered at once, and a known origin is still found.
+func TestOriginWaitersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var known origins
+		known.add(clock.Now(), startRecord("r1", 1, "v1"))
+		for i := range maxOriginWaiters {
+			go known.await(t.Context(), core.RequestID(fmt.Sprint("flood-", i%7)), maxOriginWait)
+		}
+		synctest.Wait()
+		started := time.Now()
+		_, found, _ := known.await(t.Context(), "another", maxOriginWait)
+		is.True(!found)
+		_, found, _ = known.await(t.Context(), "r1", maxOriginWait)
+		is.True(found)
+		is.Equal(time.Since(started), time.Duration(0))
+		time.Sleep(2 * maxOriginWait)
+		synctest.Wait()
+		is.Equal(known.waiters, 0)
+		is.Equal(len(known.waiting), 0)
+	})
+}
+
+// TestOriginsOutliveControlVM guards against a stream that began before a control VM restarted
+// and is refused afterwards, although the audit log on its disk states its origin.
+func TestOriginsOutliveControlVM(t *testing.T) {
+	is := is.New(t)
+	folder := filepath.Join(t.TempDir(), "audit")
+	writer, closeWriter, err := audit.Open(folder, audit.Options{VM: "c1", RotateBytes: 1})
+	is.NoErr(err)
+	// A new file is begun after each block, so the newest file has no record.
+	for _, request := range []string{"r1", "r2"} {
+		is.NoErr(writer.Append(t.Context(), encodeRecord(t, startRecord(request, 1, "v1")), encodeRecord(t, startRecord("none-"+request, 1, ""))))
+	}
+	closeWriter()
+	var known origins
+	known.restore(folder, log.New(io.Discard))
+	from, found, _ := known.await(t.Context(), "r2", 0)
+	is.True(found)
+	is.Equal(from, origin.Origin{Service: "s", Software: "v1", Send: 1})
+	is.Equal(known.table.Len(), originFiles-1) // older files are not read
+	var none origins
+	none.restore(filepath.Join(folder, "missing"), log.New(io.Discard))
+	is.Equal(none.table.Len(), 0)
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -67,6 +68,8 @@
 	// fetching holds one element while a goroutine fetches the route table.
 	fetching chan struct{}
 	crashes  crashes
+	// originQueries counts the questions about the origins of streams in flight.
+	originQueries atomic.Int32
 
 	// lock has position 2 in the lock order.
 	lock       sync.Mutex
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -34,12 +34,21 @@
 		return nil
 	}
 	limit := time.Duration(0)
-	if call.route.Kind == core.NonIdempotent {
+	if call.route.Kind == core.NonIdempotent || call.changesSoftware(selection) {
 		limit = startRecordTimeout
 	}
 	return recorder.StartWithin(ctx, call.newRecord(audit.EventStart, selection), limit)
 }
 
+// changesSoftware reports whether the send of a stream goes to another software version than
+// one before it. Until the record of the send is on a disk, other VMs take the earlier one for
+// the origin of the stream.
+func (call *call) changesSoftware(selection fleet.Selection) bool {
+	before := call.sentSoftware
+	call.sentSoftware = selection.Software
+	return call.route.Kind == core.Stream && len(call.tried) > 1 && before != selection.Software
+}
+
 // recordEnd records the outcome of a send. runsBefore is the value of counts.Runs before
 // the send.
 func (call *call) recordEnd(selection fleet.Selection, runsBefore int) {
@@ -68,6 +77,9 @@
 		Attempt: core.AttemptID(string(call.request.ID) + "/" + strconv.Itoa(len(call.tried))),
 		Config:  call.tableNumber, Route: call.route.Name, Service: call.service, Upstream: selection.Upstream, Zone: selection.Zone,
 	}
+	if call.route.Kind == core.Stream && event == audit.EventStart {
+		record.Software = selection.Software
+	}
 	if call.request.Weights.Model != "" {
 		record.Adapter = core.AdapterID(call.request.Weights.String())
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,7 +11,6 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
-	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
 
@@ -41,9 +40,11 @@
 	// lastEvent is the ID of the last event that was sent to the caller, or that the
 	// caller named in its request.
 	lastEvent string
-	// software is the version of the upstream that wrote the last events which were sent to
-	// the caller, empty if there are none.
+	// software is the version of the upstream that wrote the events which were sent to the
+	// caller, also in answer to an earlier request, empty if there are none.
 	software core.SoftwareVersion
+	// sentSoftware is the version of the upstream of the last send.
+	sentSoftware core.SoftwareVersion
 	// events is the number of events that were sent to the caller.
 	events int
 	// outcome is core.Ran once the last send has ended with a complete response, and 0
@@ -148,17 +149,6 @@
 	return 0, false
 }
 
-// The reasons why a stream that has begun is not continued.
-const (
-	noSoftware      = "no further upstream has the software version that began the stream"
-	unknownSoftware = "the software version that began the stream is not known"
-)
-
-// origin returns the software that the upstream of the next send must have.
-func (call *call) origin() origin.Requirement {
-	return origin.Requirement{Continues: call.events > 0, Software: call.software}
-}
-
 // chooseUpstream returns the upstream of the next send, and counts the request as running
 // there until Finish is called. It returns the reason and false if there is none. If no
 // engine holds the weights, or only engines with long queues, it asks the owners of the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/quarantine"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 	"github.com/dandelionring/dandelionring/pkg/policy/route"
@@ -54,6 +55,13 @@
 	ReportLimit(selected fleet.Selection)
 }
 
+// originFinder knows which software versions began the streams of other VMs.
+type originFinder interface {
+	// FindOrigin returns the origin of the stream whose first event the answer to a request
+	// brought. It returns false if that does not become known within the time wait.
+	FindOrigin(ctx context.Context, request core.RequestID, wait time.Duration) (origin.Origin, bool)
+}
+
 // Options holds the dependencies and limits of a Gateway.
 type Options struct {
 	Table   *fleet.Table
@@ -67,7 +75,9 @@
 	Crashes crashGuard
 	// Limits may be nil; the limits of upstreams are not kept then.
 	Limits admitter
-	Logger *log.Logger
+	// Origins may be nil; only streams that began on this VM are continued for callers then.
+	Origins originFinder
+	Logger  *log.Logger
 }
 
 // Gateway is the HTTP handler for the requests of callers. Use New.
@@ -78,6 +88,8 @@
 	bodies h1.Memory
 	copies copyRequester
 	losses lossWatch
+	// begun holds the origins of the streams that began on this VM.
+	begun beginnings
 	// routeTableWaiters counts the requests that wait for the first route table.
 	routeTableWaiters atomic.Int32
 
@@ -129,6 +141,13 @@
 	}
 	call.traits = conviction.NewRequest(call.fingerprint(), call.request.Parts)
 	call.service = route.SelectTarget(call.route, string(call.request.ID))
+	if call.continues() {
+		if reason := call.adoptOrigin(); reason != "" {
+			gateway.options.Logger.Info("A stream is not continued.", "request", call.request.ID, "origin", call.request.Origin, "last_event", call.request.LastEvent, "reason", reason)
+			call.refuse(http.StatusServiceUnavailable, reason)
+			return
+		}
+	}
 	if spec, ok := index.Table().Service(call.service); ok {
 		call.maxConns = spec.MaxConns
 	}
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -24,6 +24,7 @@
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
 
@@ -35,7 +36,7 @@
 	model, adapter, _ := strings.Cut(request.Header.Get("Weights"), "/")
 	return Request{
 		ID: core.RequestID(request.Header.Get("Id")), Patience: time.Duration(patience) * time.Millisecond,
-		LastEvent: request.Header.Get("Last"), Weights: core.WeightKey{Model: core.ModelID(model), Adapter: core.AdapterID(adapter)},
+		LastEvent: request.Header.Get("Last"), Origin: core.RequestID(request.Header.Get("Origin")), Weights: core.WeightKey{Model: core.ModelID(model), Adapter: core.AdapterID(adapter)},
 	}
 }
 
@@ -132,6 +133,16 @@
 	}
 }
 
+// knownOrigins is an originFinder that knows one stream.
+type knownOrigins struct {
+	request core.RequestID
+	origin  origin.Origin
+}
+
+func (known knownOrigins) FindOrigin(_ context.Context, request core.RequestID, _ time.Duration) (origin.Origin, bool) {
+	return known.origin, known.request == request
+}
+
 // failingPlacer is a placer that finds no engine.
 type failingPlacer struct{ reason string }
 
@@ -161,7 +172,11 @@
 	if recorder.full {
 		return errors.New("too many audit records wait for a disk")
 	}
-	recorder.lines = append(recorder.lines, fmt.Sprintf("record: %s %s routes=%d %s/%s %s wait=%v", record.Event, record.Attempt, record.Config, record.Route, record.Service, record.Upstream, limit))
+	line := fmt.Sprintf("record: %s %s routes=%d %s/%s %s wait=%v", record.Event, record.Attempt, record.Config, record.Route, record.Service, record.Upstream, limit)
+	if record.Software != "" {
+		line += " software=" + string(record.Software)
+	}
+	recorder.lines = append(recorder.lines, line)
 	return nil
 }
 
@@ -224,7 +239,9 @@
 	}
 	count, kind, attempts, requests := 3, "idempotent", 2, 1
 	records := &memoryRecorder{}
-	weights, patience := "", ""
+	header := make(map[string]string)
+	// takeUp holds the last event and the origin of one more request that continues a stream.
+	var takeUp []string
 	var lines bytes.Buffer
 	options := Options{Dialect: testDialect{}, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
 	for _, arg := range data.CmdArgs {
@@ -238,9 +255,17 @@
 		case "kind":
 			kind = arg.Vals[0]
 		case "weights":
-			weights = arg.Vals[0]
+			header["Weights"] = arg.Vals[0]
 		case "patience":
-			patience = arg.Vals[0]
+			header["Patience"] = arg.Vals[0]
+		case "last":
+			header["Last"] = arg.Vals[0]
+		case "then":
+			takeUp = arg.Vals
+		case "origin":
+			header["Origin"] = arg.Vals[0]
+		case "known":
+			options.Origins = knownOrigins{core.RequestID(arg.Vals[0]), origin.Origin{Service: core.ServiceID(arg.Vals[1]), Software: core.SoftwareVersion(arg.Vals[2]), Send: 1}}
 		case "late":
 			options.Placer = latePlacer{}
 		case "place":
@@ -271,7 +296,11 @@
 	defer server.Close()
 	text := ""
 	for i := range requests {
-		text += sendRequest(server, fmt.Sprintf("r%d", i+1), weights, patience)
+		text += sendRequest(server, fmt.Sprintf("r%d", i+1), header)
+	}
+	if len(takeUp) > 0 {
+		header["Last"], header["Origin"] = takeUp[0], takeUp[1]
+		text += sendRequest(server, "again", header)
 	}
 	text += upstreams.sends()
 	server.Close() // the end of a send is recorded after its response was sent
@@ -306,12 +335,13 @@
 }
 
 // sendRequest sends a request to the gateway and returns the response.
-func sendRequest(server *httptest.Server, id, weights, patience string) string {
+func sendRequest(server *httptest.Server, id string, header map[string]string) string {
 	request, _ := http.NewRequest(http.MethodPost, server.URL+"/p/a%2Fb?q=1", strings.NewReader("body"))
 	request.Host = "h.example"
 	request.Header.Set("Id", id)
-	request.Header.Set("Weights", weights)
-	request.Header.Set("Patience", patience)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
 	response, err := server.Client().Do(request)
 	if err != nil {
 		return "no answer\n"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -73,6 +73,9 @@
 		return false
 	}
 	count := bytes.Count(whole, eventEnd)
+	if call.events == 0 && count > 0 {
+		attempt.noteBeginning()
+	}
 	call.events += count
 	call.software = attempt.selection.Software
 	if attempt.events < passedEvents && attempt.events+count >= passedEvents {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -88,7 +88,7 @@
 	node := control.New(control.Options{
 		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Zones: settings.Zones,
 		EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
-		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, replicaCaller), Calls: peerClient, Engines: engines, Jobs: jobs, Records: records, Logger: logger,
+		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, replicaCaller), Calls: peerClient, Engines: engines, Jobs: jobs, Records: records, RecordFolder: recordFolder(settings), Logger: logger,
 	}, peers)
 	peers.AddSeeds(settings.Seeds)
 	return serveControl(settings, node, peers, identity, handler(node), loggers, stop, reload)
--- a/internal/node/records.go
+++ b/internal/node/records.go
@@ -27,10 +27,15 @@
 	recordFileBytes core.Bytes = 4 << 20
 )
 
+// recordFolder returns the folder of the audit records of a control VM.
+func recordFolder(settings ControlSettings) string {
+	return filepath.Join(settings.DataFolder, "audit")
+}
+
 // newControlAuditor returns the auditor of a control VM, which stores records on its disk,
 // and a function that closes it.
 func newControlAuditor(settings ControlSettings, identity peer.Identity, peerClient *peer.Client, logger *log.Logger) (*auditor.Auditor, func()) {
-	disk, closeDisk := auditor.OpenDisk(filepath.Join(settings.DataFolder, "audit"), audit.Options{
+	disk, closeDisk := auditor.OpenDisk(recordFolder(settings), audit.Options{
 		VM: settings.VM, RotateBytes: recordFileBytes, MaxBytes: settings.AuditBytes,
 	}, logger)
 	self := auditor.Member{VM: settings.VM, Zone: settings.Zone, Disk: true}
--- a/pkg/audit/reader.go
+++ b/pkg/audit/reader.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"os"
+	"slices"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/go-faster/errors"
@@ -66,6 +67,56 @@
 	}
 }
 
+// Newest returns the records of the newest files that can be decoded, at most the given number
+// of files, the newest file first. It decodes only the payloads for which wanted returns true.
+func (reader *Reader) Newest(files int, wanted func(Payload) bool) iter.Seq2[Record, error] {
+	return func(yield func(Record, error) bool) {
+		paths, err := Files(reader.folder)
+		if err != nil {
+			yield(Record{}, err)
+			return
+		}
+		for _, path := range slices.Backward(paths[max(0, len(paths)-files):]) {
+			if !readWanted(path, wanted, yield) {
+				return
+			}
+		}
+	}
+}
+
+// readWanted yields the records of a file for which wanted returns true. It returns false if
+// yield has returned false.
+func readWanted(path string, wanted func(Payload) bool, yield func(Record, error) bool) bool {
+	data, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return true // removed by retention after the files were listed
+	}
+	if err != nil {
+		return yield(Record{}, errors.Wrap(err, "read audit file"))
+	}
+	_, at, err := decodeHeader(path, data)
+	if err != nil {
+		return yield(Record{}, err)
+	}
+	for at < len(data) {
+		block, ok := decodeBlock(data[at:])
+		if !ok {
+			return true // a torn block, or one that is being written
+		}
+		at += block.size
+		entries, _ := block.entries()
+		for _, entry := range entries {
+			if !wanted(entry.payload) {
+				continue
+			}
+			if record, err := Decode(entry.payload); err == nil && !yield(record, nil) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // readFile yields the entries of a file, after it has called begin with the file header.
 // It returns false if yield has returned false.
 func readFile(path string, begin func(fileHeader), yield func(Entry, error) bool) bool {
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -57,13 +57,16 @@
 	// Route is set if a route table, and not the plan's grant, allowed the run.
 	Route core.RouteName `json:",omitempty"`
 	// Targets is set for EventRoutes: the services that each route of the table allows.
-	Targets  RouteTargets     `json:",omitempty"`
-	Upstream core.UpstreamID  `json:",omitempty"`
-	Zone     core.ZoneID      `json:",omitempty"`
-	Outcome  string           `json:",omitempty"`
-	Code     core.RefusalCode `json:",omitempty"`
-	Whole    bool             `json:",omitempty"`
-	Tokens   core.Tokens      `json:",omitempty"`
+	Targets  RouteTargets    `json:",omitempty"`
+	Upstream core.UpstreamID `json:",omitempty"`
+	// Software is the version of the upstream's software. It is set for the sends of streams,
+	// which may be continued at that version only.
+	Software core.SoftwareVersion `json:",omitempty"`
+	Zone     core.ZoneID          `json:",omitempty"`
+	Outcome  string               `json:",omitempty"`
+	Code     core.RefusalCode     `json:",omitempty"`
+	Whole    bool                 `json:",omitempty"`
+	Tokens   core.Tokens          `json:",omitempty"`
 	// FirstByteMicros, StallMicros and TotalMicros are durations of the attempt in
 	// microseconds.
 	FirstByteMicros int64 `json:",omitempty"`
