Continue an answer of the own deployments only at its software version

Callers of the deployments in which owners dispatch could get an answer joined from two software versions of the engines. The rapid model of the lifecycle and its script software fail without the check. Change: engines announce and answer with Software; the lifecycle keeps the version that began an answer and rejects chunks of another one; the scheduler sends a continuing attempt to an engine with the version at once or refuses it.

--- a/internal/dispatch/serve.go
+++ b/internal/dispatch/serve.go
@@ -9,6 +9,7 @@
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 )
 
@@ -56,6 +57,7 @@
 	group.scheduler.Enqueue(scheduler.Call{
 		Attempt: call.Attempt, Customer: call.Customer, Adapter: call.Pin.AdapterVersion, Priority: call.Priority,
 		Deadline: now.Add(call.Deadline), Suspect: call.Suspect, Prefixes: call.Prefixes,
+		Origin: origin.Requirement{Continues: call.ResumeOffset > 0, Software: call.Software},
 	}, now)
 	owner.applyActions(group, now)
 	return group, pending
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -222,6 +222,7 @@
 		Headers:        active.request.Headers,
 		Body:           active.request.Body,
 		ResumeOffset:   offset,
+		Software:       active.lifecycle.Origin().Software,
 		IdempotencyKey: active.request.IdempotencyKey,
 		Repeatable:     active.admitted.Repeatable,
 		Suspect:        active.entry.status(active.fingerprint) != quarantine.Clear,
--- a/internal/entry/script_test.go
+++ b/internal/entry/script_test.go
@@ -106,7 +106,11 @@
 // Serve carries out the next line of the script: "head" with the version that ran,
 // "token" for each token that is passed on, and how the attempt ends.
 func (fixture *fixture) Serve(_ context.Context, call core.Call, send func(core.Chunk) error) core.End {
-	fixture.record("attempt at %s offset=%d suspect=%t\n", call.Group, call.ResumeOffset, call.Suspect)
+	software := ""
+	if call.ResumeOffset > 0 {
+		software = fmt.Sprintf(" software=%s", call.Software)
+	}
+	fixture.record("attempt at %s offset=%d%s suspect=%t\n", call.Group, call.ResumeOffset, software, call.Suspect)
 	if len(fixture.script) == 0 {
 		return core.RefusedEnd(call.Attempt, core.NewRefusal(core.CodeNoUpstream, "the script has ended"))
 	}
@@ -119,7 +123,7 @@
 		switch name {
 		case "head":
 			ran, _ := core.ParseAdapterVersion(value)
-			if err := send(core.Chunk{Attempt: call.Attempt, Head: &core.Head{Status: 200, Ran: ran}, Offset: offset}); err != nil {
+			if err := send(core.Chunk{Attempt: call.Attempt, Head: &core.Head{Status: 200, Ran: ran, Software: "s1"}, Offset: offset}); err != nil {
 				end.Outcome, end.Code = core.Ran, core.CodeStreamBroken
 				return end
 			}
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -22,6 +22,7 @@
 	Kind            string
 	Name            string
 	Address         string
+	Software        core.SoftwareVersion
 	Leaving         bool
 	ChecksFencing   bool
 	Resumes         bool
@@ -54,6 +55,7 @@
 		Incarnation:   message.Incarnation,
 		Group:         core.GroupID{Zone: message.Zone, Kind: parseKind(message.Kind), Name: message.Name},
 		Address:       message.Address,
+		Software:      message.Software,
 		Leaving:       message.Leaving,
 		ChecksFencing: message.ChecksFencing,
 		Resumes:       message.Resumes,
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -179,6 +179,7 @@
 			Adapter: core.AdapterID(response.Header.Get("X-Adapter")),
 			Version: core.Version(response.Header.Get("X-Version")),
 		},
+		Software:    core.SoftwareVersion(response.Header.Get("X-Software")),
 		Upstream:    core.UpstreamID(response.Header.Get("X-Engine")),
 		Incarnation: core.Incarnation(response.Header.Get("X-Incarnation")),
 		Token:       token,
--- a/pkg/core/call.go
+++ b/pkg/core/call.go
@@ -38,7 +38,10 @@
 	Headers     []Header
 	Body        []byte
 	// ResumeOffset is the number of answer tokens that the caller already received.
-	ResumeOffset   Tokens
+	ResumeOffset Tokens
+	// Software is the software version that wrote these tokens. Only an engine with it may
+	// continue the answer.
+	Software       SoftwareVersion
 	IdempotencyKey IdempotencyKey
 	// Repeatable is set if the call may run more than once.
 	Repeatable bool
@@ -56,7 +59,9 @@
 	Status  int
 	Headers []Header
 	// Ran is the adapter version that the engine ran. It is empty for a plain service.
-	Ran         AdapterVersion
+	Ran AdapterVersion
+	// Software is the version of the engine's software, empty if it does not state one.
+	Software    SoftwareVersion
 	Upstream    UpstreamID
 	Incarnation Incarnation
 	// Token is the fencing token with which the attempt was sent to the engine. It is
--- a/pkg/core/upstream.go
+++ b/pkg/core/upstream.go
@@ -20,7 +20,10 @@
 	Group       GroupID
 	// Address is an IP address and a port.
 	Address string
-	Leaving bool
+	// Software is the version of the upstream's software, empty if unknown. An answer is not
+	// continued at an engine whose version is unknown.
+	Software SoftwareVersion
+	Leaving  bool
 	// ChecksFencing, Resumes and ExportsCache are optional features of an engine:
 	// it rejects outdated fencing tokens, resumes answers at an offset, and reports
 	// changes of its prefix cache.
@@ -45,8 +48,9 @@
 // Upper limits enforced by Announcement.Check, so that implausible values are
 // rejected before they are stored.
 const (
-	maxSlots     = 4096
-	maxBatchSize = 65536
+	maxSlots          = 4096
+	maxBatchSize      = 65536
+	maxSoftwareLength = 64
 )
 
 // Check returns all faults of the announcement, and nil if it is valid.
@@ -60,6 +64,7 @@
 	addIf(announcement.Upstream == "", "Upstream", "empty")
 	addIf(announcement.Incarnation == "", "Incarnation", "empty")
 	addIf(announcement.Address == "", "Address", "empty")
+	addIf(len(announcement.Software) > maxSoftwareLength, "Software", "longer than 64 bytes")
 	addIf(announcement.Group.Zone == "", "Zone", "empty")
 	addIf(announcement.Group.Name == "", "Name", "empty")
 	addIf(announcement.Group.Kind != EngineGroup && announcement.Group.Kind != ServiceGroup, "Kind", "neither engine nor service")
--- a/pkg/policy/attempt/decision.go
+++ b/pkg/policy/attempt/decision.go
@@ -97,7 +97,8 @@
 // mayRepeat reports whether the request may be sent again, regardless of time limits and
 // the retry budget. An attempt that did not run may be repeated. One that ran or may
 // have run may be repeated only if the request is repeatable. In both cases, if the
-// caller has received a part of the answer, it must be resumable.
+// caller has received a part of the answer, it must be resumable: it consists of tokens, and
+// the software version that began it is known.
 func (lifecycle *Lifecycle) mayRepeat(end core.End) bool {
 	if nonRetryableCodes[end.Code] {
 		return false
@@ -105,7 +106,7 @@
 	if end.Outcome != core.NotRun && !lifecycle.params.Repeatable {
 		return false
 	}
-	return !lifecycle.visible || lifecycle.params.Model
+	return !lifecycle.visible || lifecycle.params.Model && lifecycle.Origin().Possible()
 }
 
 // withinLimits reports whether another attempt may start according to the number of
@@ -142,8 +143,8 @@
 		if !lifecycle.params.Repeatable {
 			lifecycle.state = Claimed
 		}
-	case lifecycle.params.Buffered && end.Outcome == core.NotRun && lifecycle.refusals >= max(1, input.Groups):
-		// No group resumes the answer, and the caller has received none of it.
+	case lifecycle.params.Buffered && (!lifecycle.Origin().Possible() || end.Outcome == core.NotRun && lifecycle.refusals >= max(1, input.Groups)):
+		// No group resumes the answer, or none can, and the caller has received none of it.
 		decision.Action = Restart
 		lifecycle.state, lifecycle.tokens, lifecycle.refusals = Queued, 0, 0
 	default:
@@ -182,7 +183,7 @@
 func RejectedChunkEnd(id core.AttemptID, verdict Verdict, upstream core.UpstreamID) core.End {
 	message := "tokens of the answer are missing"
 	if verdict == Mismatch {
-		message = "the upstream ran another adapter version"
+		message = "the upstream ran another adapter version, or has other software than the one that began the answer"
 	}
 	return core.End{Attempt: id, Outcome: core.Ran, Code: core.CodeUpstreamFailed, Message: message, Upstream: upstream}
 }
--- a/pkg/policy/attempt/lifecycle.go
+++ b/pkg/policy/attempt/lifecycle.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
 // RequestParams are the properties of a request that admission determines.
@@ -43,6 +44,8 @@
 	// tokens is the number of tokens passed on so far. For a buffered answer, tokens
 	// count as passed on once they are collected.
 	tokens core.Tokens
+	// software is the version of the software that produced these tokens.
+	software core.SoftwareVersion
 	// visible is set once a part of the answer was passed on without buffering.
 	visible bool
 	// nextDeadline is the time by which the next attempt must start and give its
@@ -73,6 +76,12 @@
 // Tokens returns the number of tokens passed on so far.
 func (lifecycle *Lifecycle) Tokens() core.Tokens { return lifecycle.tokens }
 
+// Origin returns the software that the engine of the next attempt must have: an answer is
+// continued only by the version that began it.
+func (lifecycle *Lifecycle) Origin() origin.Requirement {
+	return origin.Requirement{Continues: lifecycle.tokens > 0, Software: lifecycle.software}
+}
+
 // Remaining returns the time left until the first byte of the next attempt is due. It
 // is negative after that.
 func (lifecycle *Lifecycle) Remaining(now time.Time) time.Duration {
@@ -171,6 +180,12 @@
 	if lifecycle.params.Model && chunk.Head != nil && chunk.Head.Ran != lifecycle.params.Pin {
 		return Mismatch
 	}
+	if lifecycle.params.Model && chunk.Head != nil {
+		if !lifecycle.Origin().Allows(chunk.Head.Software) {
+			return Mismatch
+		}
+		lifecycle.software = chunk.Head.Software
+	}
 	lifecycle.headReceived = true
 	if !lifecycle.params.Model {
 		return lifecycle.deliver(0)
--- a/pkg/policy/attempt/lifecycle_test.go
+++ b/pkg/policy/attempt/lifecycle_test.go
@@ -22,6 +22,8 @@
 	attempts  []*simulatedAttempt
 	// delivered holds the offsets of the tokens passed on, in order.
 	delivered []core.Tokens
+	// software is the version that produced these tokens.
+	software core.SoftwareVersion
 }
 
 // simulatedAttempt is one attempt from the point of view of its upstream.
@@ -30,12 +32,14 @@
 	// ran is set once an upstream ran the attempt.
 	ran     bool
 	version core.Version
-	sent    core.Tokens
-	ended   bool
+	// software is the version of the upstream's software.
+	software core.SoftwareVersion
+	sent     core.Tokens
+	ended    bool
 }
 
 // TestEveryInterleaving guards against duplicate or missing tokens, answers of another
-// adapter version, a second run of a call that must not be repeated, and refusals with
+// adapter version or of two software versions, a second run of a call that must not be repeated, and refusals with
 // the outcome "not run" for a request that ran. It covers any order of chunks, ends and
 // failures of all attempts, including superseded ones.
 func TestEveryInterleaving(t *testing.T) {
@@ -80,7 +84,8 @@
 			t.Fatalf("attempt %s was sent although %s ran", id, earlier.id)
 		}
 	}
-	simulation.attempts = append(simulation.attempts, &simulatedAttempt{id: id, sent: offset, version: "1"})
+	software := rapid.SampledFrom([]core.SoftwareVersion{"s1", "s1", "s2", ""}).Draw(t, "software")
+	simulation.attempts = append(simulation.attempts, &simulatedAttempt{id: id, sent: offset, version: "1", software: software})
 }
 
 func (simulation *simulation) pickAttempt(t *rapid.T) *simulatedAttempt {
@@ -119,7 +124,7 @@
 		}
 	}
 	if rapid.IntRange(0, 9).Draw(t, "head") > 0 {
-		chunk.Head = &core.Head{Ran: core.AdapterVersion{Adapter: "x", Version: attempt.version}}
+		chunk.Head = &core.Head{Ran: core.AdapterVersion{Adapter: "x", Version: attempt.version}, Software: attempt.software}
 	}
 	switch verdict := simulation.lifecycle.Accept(chunk, count); verdict {
 	case Pass:
@@ -136,6 +141,10 @@
 	if simulation.params.Model && attempt.version != simulation.params.Pin.Version {
 		t.Fatalf("version %s was passed on", attempt.version)
 	}
+	if len(simulation.delivered) > 0 && count > 0 && attempt.software != simulation.software {
+		t.Fatalf("tokens of software %q follow those of %q", attempt.software, simulation.software)
+	}
+	simulation.software = attempt.software
 	for offset := chunk.Offset - count; offset < chunk.Offset; offset++ {
 		simulation.delivered = append(simulation.delivered, offset)
 	}
--- a/pkg/policy/attempt/script_test.go
+++ b/pkg/policy/attempt/script_test.go
@@ -14,7 +14,8 @@
 var epoch = time.Unix(1_000_000, 0)
 
 // TestScripts guards against passing on a chunk of a superseded attempt, repeating a
-// request that must not be repeated, and reporting a wrong outcome.
+// request that must not be repeated, continuing an answer with other software than the one
+// that began it, and reporting a wrong outcome.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var lifecycle *Lifecycle
@@ -84,7 +85,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		chunk.Head = &core.Head{Ran: av}
+		software := "s1"
+		line.MaybeScanArgs(t, "software", &software)
+		chunk.Head = &core.Head{Ran: av, Software: core.SoftwareVersion(strings.TrimPrefix(software, "none"))}
 	}
 	return chunk, core.Tokens(count)
 }
--- a/pkg/policy/attempt/state.go
+++ b/pkg/policy/attempt/state.go
@@ -49,7 +49,7 @@
 	// a finished request, or its tokens were passed on before.
 	Drop
 	// Mismatch means that the attempt runs an adapter version other than the pinned
-	// one. The attempt must be cancelled and ended with RejectedChunkEnd.
+	// one, or continues an answer that another software version began. The attempt must be cancelled and ended with RejectedChunkEnd.
 	Mismatch
 	// Gap means that the chunk does not continue the tokens passed on so far, or that
 	// it is the first of its attempt and has no head. The attempt must be cancelled
--- a/pkg/policy/scheduler/action.go
+++ b/pkg/policy/scheduler/action.go
@@ -73,6 +73,7 @@
 	refusedDeadline   = core.NewRefusal(core.CodeDeadlineExceeded, "the deadline passed before the call could be sent")
 	refusedOverloaded = core.NewRefusal(core.CodeOverloaded, "the queue of the upstream group is full")
 	refusedNoUpstream = core.NewRefusal(core.CodeNoUpstream, "no upstream of the group is available")
+	refusedSoftware   = core.NewRefusal(core.CodeNoUpstream, "no upstream with the software that began the answer has room and the adapter")
 	refusedAdapter    = core.NewRefusal(core.CodeAdapterUnavailable, "the adapter could not be loaded")
 	refusedNotOwner   = core.NewRefusal(core.CodeNotOwner, "the group has another owner now")
 )
--- a/pkg/policy/scheduler/call.go
+++ b/pkg/policy/scheduler/call.go
@@ -4,11 +4,12 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/queue"
 )
 
 // Enqueue adds a call to the queue, or refuses it if the queue is full or the group
-// has no upstream. Each call leads to exactly one Refuse, or one Send whose Start
+// has no upstream. A call that continues an answer does not wait. Each call leads to exactly one Refuse, or one Send whose Start
 // returns true, unless Cancel removes it before. A Send whose Start returns false is
 // replaced by another action for the call. Enqueue ignores an attempt that waits or
 // is assigned already.
@@ -27,11 +28,16 @@
 		return
 	}
 	scheduler.recordArrival(id, now)
-	scheduler.displaceWaiting(call.Priority, now)
-	_, accepted := scheduler.queue.Push(queue.Entry{
+	entry := queue.Entry{
 		Attempt: call.Attempt, Customer: call.Customer, Lane: id, Priority: call.Priority,
 		Arrived: now, Deadline: call.Deadline, Suspect: call.Suspect, Prefixes: call.Prefixes,
-	})
+	}
+	if call.Origin.Continues {
+		scheduler.continueAnswer(entry, call.Origin, now)
+		return
+	}
+	scheduler.displaceWaiting(call.Priority, now)
+	_, accepted := scheduler.queue.Push(entry)
 	if !accepted {
 		scheduler.refuse(call.Attempt, refusedOverloaded)
 		return
@@ -41,6 +47,33 @@
 	scheduler.startLoads(now)
 }
 
+// continueAnswer assigns a call that continues an answer to an upstream with the software that
+// began it, or refuses the call if none has room and the adapter. The call does not wait: as
+// the first one of its adapter it would hold back calls that any upstream may run.
+func (scheduler *Scheduler) continueAnswer(call queue.Entry, required origin.Requirement, now time.Time) {
+	cheapest, cheapestCost := slotRef{none, none}, 0.0
+	consider := func(candidate slotRef) {
+		if required.Allows(scheduler.upstreams[candidate.upstream].software) {
+			scheduler.considerTarget(candidate, &call, now, &cheapest, &cheapestCost)
+		}
+	}
+	entry := &scheduler.adapters[call.Lane]
+	for i := range scheduler.upstreams {
+		if entry.anyUpstream {
+			consider(slotRef{int32(i), none})
+		}
+	}
+	for _, resident := range entry.copies {
+		consider(resident)
+	}
+	if cheapest.upstream == none {
+		scheduler.refuse(call.Attempt, refusedSoftware)
+		return
+	}
+	scheduler.popularity.Hold(call.Lane)
+	scheduler.assignments[scheduler.assignCall(call, cheapest, now)].continues = true
+}
+
 // hasAttempt reports whether an attempt waits or is assigned.
 func (scheduler *Scheduler) hasAttempt(attempt core.AttemptID) bool {
 	if _, waits := scheduler.queue.Find(attempt); waits {
--- a/pkg/policy/scheduler/config.go
+++ b/pkg/policy/scheduler/config.go
@@ -6,6 +6,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/batching"
 	"github.com/dandelionring/dandelionring/pkg/policy/budget"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
 const (
@@ -86,6 +87,8 @@
 	Priority core.Priority
 	// Deadline is the time from which on the call may no longer be sent.
 	Deadline time.Time
+	// Origin states which software the upstream must have.
+	Origin origin.Requirement
 	// Suspect marks a call that must run alone on its upstream.
 	Suspect bool
 	// Prefixes are hashes of the prompt's prefixes, the shortest first. The caller
--- a/pkg/policy/scheduler/dispatch.go
+++ b/pkg/policy/scheduler/dispatch.go
@@ -197,7 +197,12 @@
 
 // assign removes the first call of a lane from the queue and assigns it to a target.
 func (scheduler *Scheduler) assign(lane int32, target slotRef, now time.Time) {
-	call := scheduler.queue.Serve(lane)
+	scheduler.assignCall(scheduler.queue.Serve(lane), target, now)
+}
+
+// assignCall assigns a call that is not in the queue to a target and returns the index of the
+// assignment.
+func (scheduler *Scheduler) assignCall(call queue.Entry, target slotRef, now time.Time) int32 {
 	upstream := &scheduler.upstreams[target.upstream]
 	upstream.inFlight++
 	upstream.history.Set(now, upstream.inFlight)
@@ -215,6 +220,7 @@
 	scheduler.assignments[assignmentIndex] = assignment{call: call, upstream: target.upstream, slot: target.slot, epoch: upstream.epoch, since: now}
 	scheduler.assignmentIndices[call.Attempt] = assignmentIndex
 	scheduler.appendSend(&call, target, now)
+	return assignmentIndex
 }
 
 // appendSend appends the Send action of an assigned call.
--- a/pkg/policy/scheduler/scheduler.go
+++ b/pkg/policy/scheduler/scheduler.go
@@ -97,7 +97,9 @@
 	slot     int32
 	epoch    uint32
 	started  bool
-	since    time.Time
+	// continues is set for a call that continues an answer and so did not wait in the queue.
+	continues bool
+	since     time.Time
 }
 
 // New returns a scheduler for a group that this VM owns since the time start.
--- a/pkg/policy/scheduler/script_test.go
+++ b/pkg/policy/scheduler/script_test.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/batching"
 	"github.com/dandelionring/dandelionring/pkg/policy/budget"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/routing"
 	"github.com/dandelionring/dandelionring/pkg/policy/scheduler"
 )
@@ -194,7 +195,7 @@
 	announcement := core.Announcement{
 		Upstream: core.UpstreamID(args.positional[0]), Incarnation: args.incarnation(), Leaving: args.hasFlag("leaving"),
 		Slots: args.number("slots", 2), BatchSize: args.number("batch", 2), Running: args.number("running", 0),
-		Queued: args.number("queued", 0), ReportAge: args.duration("age", 0),
+		Queued: args.number("queued", 0), ReportAge: args.duration("age", 0), Software: core.SoftwareVersion(args.named["software"]),
 	}
 	if resident := args.named["resident"]; resident != "" {
 		for _, text := range strings.Split(resident, ",") {
@@ -212,6 +213,9 @@
 		Adapter: parseAdapter(args.named["adapter"]), Priority: core.Priority(args.number("priority", 0)),
 		Deadline: script.now.Add(args.duration("deadline", 10*time.Second)), Suspect: args.hasFlag("suspect"),
 	}
+	if software, continues := args.named["continues"]; continues {
+		call.Origin = origin.Requirement{Continues: true, Software: core.SoftwareVersion(software)}
+	}
 	if prefix := args.number("prefix", 0); prefix > 0 {
 		call.Prefixes = []uint64{uint64(prefix)}
 	}
--- a/pkg/policy/scheduler/upstream.go
+++ b/pkg/policy/scheduler/upstream.go
@@ -14,7 +14,9 @@
 	// epoch is the number of the incarnation, from Scheduler.lastEpoch.
 	epoch         uint32
 	lastAnnounced time.Time
-	leaving       bool
+	// software is the announced version of the software.
+	software core.SoftwareVersion
+	leaving  bool
 	// lost is set by UpstreamLost until the next announcement.
 	lost bool
 	// announcements counts the announcements of this incarnation that this owner
@@ -68,6 +70,7 @@
 	}
 	upstream.lastAnnounced, upstream.lost = now, false
 	upstream.leaving = upstream.leaving || announcement.Leaving
+	upstream.software = announcement.Software
 	upstream.announcements++
 	upstream.batchSize = announcement.BatchSize
 	if upstream.batchSize == 0 {
@@ -187,9 +190,15 @@
 	}
 }
 
-// requeue returns an assigned call to its former place in the queue.
+// requeue returns an assigned call to its former place in the queue. A call that continues an
+// answer does not wait and is refused.
 func (scheduler *Scheduler) requeue(assignmentIndex int32, now time.Time) {
 	call := scheduler.assignments[assignmentIndex].call
+	if scheduler.assignments[assignmentIndex].continues {
+		scheduler.removeAssignment(assignmentIndex, now)
+		scheduler.refuse(call.Attempt, refusedSoftware)
+		return
+	}
 	scheduler.popularity.Hold(call.Lane)
 	scheduler.removeAssignment(assignmentIndex, now)
 	scheduler.queue.Requeue(call)
--- a/standin/announce/announce.go
+++ b/standin/announce/announce.go
@@ -29,6 +29,7 @@
 	Kind            string
 	Name            string
 	Address         string
+	Software        core.SoftwareVersion
 	Leaving         bool
 	ChecksFencing   bool
 	Resumes         bool
--- a/standin/cmd/standin/load.go
+++ b/standin/cmd/standin/load.go
@@ -18,7 +18,7 @@
 
 func loadCommand() command {
 	out, rate, tokens, name, replay := "records.jsonl", 50.0, 20, "billing", ""
-	versions := []string{}
+	versions, software := []string{}, []string{}
 	settings := load.Settings{
 		Duration: 5 * time.Second, Seed: 1, Adapters: 40, AdapterPrefix: "adapter-", Skew: 1.2,
 		StreamShare: 0.5, CallShare: 0.2, PinShare: 0.5, Resends: 3, Timeout: 20 * time.Second,
@@ -35,6 +35,7 @@
 	sub.Int(&settings.Adapters, "", "adapters", "number of adapters")
 	sub.String(&settings.AdapterPrefix, "", "adapter-prefix", "prefix of the adapter names, followed by a number")
 	sub.StringSlice(&versions, "", "adapter-version", "granted version, the newest last; repeat for several")
+	sub.StringSlice(&software, "", "software", "version of the engines' software; repeat for several")
 	sub.Float64(&settings.Skew, "", "skew", "Zipf exponent of the adapter popularity, above 1")
 	sub.Int(&tokens, "", "tokens", "number of tokens of an answer")
 	sub.Float64(&settings.StreamShare, "", "stream-share", "share of streamed requests")
@@ -57,6 +58,9 @@
 		for _, version := range versions {
 			settings.Versions = append(settings.Versions, core.Version(version))
 		}
+		for _, version := range software {
+			settings.Software = append(settings.Software, core.SoftwareVersion(version))
+		}
 		if len(versions) == 0 {
 			settings.Versions = []core.Version{"1"}
 		}
--- a/standin/cmd/standin/serve.go
+++ b/standin/cmd/standin/serve.go
@@ -69,7 +69,7 @@
 		Slots: 8, BatchSize: 16, TokenTime: 5 * time.Millisecond, LoadTime: 250 * time.Millisecond, Resumes: true,
 		PrefixBlocks: 4096, PrefillBlocks: 8, EventDelay: 500 * time.Millisecond, EventLoss: 0.05, ReportLag: 150 * time.Millisecond,
 	}
-	noResume := false
+	noResume, software := false, string(engine.DefaultSoftware)
 	sub := flaggy.NewSubcommand("engine")
 	sub.Description = "Run a model engine."
 	sub.String(&address, "", "listen", "address to listen on")
@@ -86,6 +86,7 @@
 	sub.Duration(&settings.TokenTime, "", "token-time", "duration of one batch step, which produces one token per request")
 	sub.Duration(&settings.LoadTime, "", "load-time", "duration of a load without a store")
 	sub.Bool(&settings.ChecksFencing, "", "checks-fencing", "refuse orders with an old fencing token")
+	sub.String(&software, "", "software", "version of the engine's software; the tokens of two versions do not fit together")
 	sub.Bool(&noResume, "", "no-resume", "refuse to resume streams")
 	sub.Int(&settings.PrefixBlocks, "", "prefix-blocks", "capacity of the prefix cache in blocks of 256 bytes")
 	sub.Int(&settings.PrefillBlocks, "", "prefill-blocks", "uncached blocks processed in one step; 0 for no limit")
@@ -98,7 +99,7 @@
 			return err
 		}
 		settings.Upstream, settings.Zone, settings.Model = core.UpstreamID(upstream), core.ZoneID(zone), core.ModelID(model)
-		settings.Resumes = !noResume
+		settings.Resumes, settings.Software = !noResume, core.SoftwareVersion(software)
 		if settings.Address == "" {
 			settings.Address = listener.Addr().String()
 		}
--- a/standin/engine/announce.go
+++ b/standin/engine/announce.go
@@ -44,7 +44,7 @@
 	settings := engine.settings
 	body := announce.Body{
 		Upstream: settings.Upstream, Incarnation: engine.incarnation, Zone: settings.Zone,
-		Kind: "engine", Name: string(settings.Model), Address: settings.Address,
+		Kind: "engine", Name: string(settings.Model), Address: settings.Address, Software: settings.Software,
 		Leaving: engine.faults.Leaving, ChecksFencing: settings.ChecksFencing, Resumes: settings.Resumes,
 		Slots: settings.Slots, BatchSize: settings.BatchSize, LastFencing: engine.lastToken,
 		Resident: engine.residents(),
--- a/standin/engine/batch.go
+++ b/standin/engine/batch.go
@@ -92,7 +92,7 @@
 		return
 	}
 	if current.offset < current.prompt.Tokens {
-		current.tokens <- Token(current.av, current.prompt.Text, current.offset)
+		current.tokens <- Token(current.av, engine.settings.Software, current.prompt.Text, current.offset)
 		current.offset++
 		engine.counts.Tokens++
 	}
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -27,6 +27,8 @@
 	LoadTime      time.Duration
 	ChecksFencing bool
 	Resumes       bool
+	// Software is the version of the engine's software. The tokens depend on it.
+	Software core.SoftwareVersion
 	// PrefixBlocks is the capacity of the prefix cache in blocks of 256 bytes.
 	PrefixBlocks int
 	// PrefillBlocks is the number of uncached blocks that one step can process;
@@ -42,6 +44,9 @@
 	VMToken   string
 }
 
+// DefaultSoftware is the software version of the stand-in programs.
+const DefaultSoftware core.SoftwareVersion = "1"
+
 // Counts holds the counters of an engine since its start.
 type Counts struct {
 	Upstream    core.UpstreamID
--- a/standin/engine/http.go
+++ b/standin/engine/http.go
@@ -201,6 +201,7 @@
 	header.Set("X-Attempt", string(current.id))
 	header.Set("X-Engine", string(engine.settings.Upstream))
 	header.Set("X-Incarnation", string(engine.incarnation))
+	header.Set("X-Software", string(engine.settings.Software))
 	header.Set("X-Adapter", string(current.av.Adapter))
 	header.Set("X-Version", string(current.av.Version))
 	writer.WriteHeader(http.StatusOK)
--- a/standin/engine/script_test.go
+++ b/standin/engine/script_test.go
@@ -169,7 +169,7 @@
 		return fmt.Sprintf("%d %s\n", status, strings.TrimSpace(body))
 	}
 	prompt := Prompt{Text: argument(t, line, "prompt"), Tokens: 3}
-	whole := Answer(core.AdapterVersion{Adapter: core.AdapterID(argument(t, line, "adapter")), Version: "1"}, prompt)
+	whole := Answer(core.AdapterVersion{Adapter: core.AdapterID(argument(t, line, "adapter")), Version: "1"}, "", prompt)
 	var text strings.Builder
 	end := "open"
 	for _, event := range strings.Split(body, "\n") {
--- a/standin/engine/text.go
+++ b/standin/engine/text.go
@@ -94,18 +94,19 @@
 	return hashes
 }
 
-// Token returns the token at the offset in the answer to the prompt.
-func Token(av core.AdapterVersion, prompt string, offset core.Tokens) string {
+// Token returns the token at the offset in the answer to the prompt. It differs between
+// software versions, so that a joined answer is wrong.
+func Token(av core.AdapterVersion, software core.SoftwareVersion, prompt string, offset core.Tokens) string {
 	sum := fnv.New32a()
-	fmt.Fprintf(sum, "%s\x00%s\x00%s\x00%d", av.Adapter, av.Version, prompt, offset)
+	fmt.Fprintf(sum, "%s\x00%s\x00%s\x00%d\x00%s", av.Adapter, av.Version, prompt, offset, software)
 	return fmt.Sprintf("%08x ", sum.Sum32())
 }
 
-// Answer returns the complete text that an engine generates for the prompt.
-func Answer(av core.AdapterVersion, prompt Prompt) string {
+// Answer returns the complete text that an engine with the software generates for the prompt.
+func Answer(av core.AdapterVersion, software core.SoftwareVersion, prompt Prompt) string {
 	var text strings.Builder
 	for offset := range prompt.Tokens {
-		text.WriteString(Token(av, prompt.Text, offset))
+		text.WriteString(Token(av, software, prompt.Text, offset))
 	}
 	return text.String()
 }
--- a/standin/load/answer.go
+++ b/standin/load/answer.go
@@ -178,16 +178,23 @@
 	compareAnswer(answer.Choices[0].Message.Content, true, planned, record)
 }
 
-// compareAnswer compares the text with the recomputed answer. If whole is false,
-// as for a broken stream, the text must be a prefix of it.
+// compareAnswer compares the text with the answers of the engines' software versions,
+// recomputed. It must be one of them or, if whole is false, as for a broken stream, a prefix of
+// one.
 func compareAnswer(text string, whole bool, planned *plannedRequest, record *Record) {
-	want := engine.Answer(planned.av, planned.prompt)
-	if whole && text != want {
-		record.addFault("wrong answer: " + text + " instead of " + want)
+	var answers []string
+	for _, software := range planned.software {
+		want := engine.Answer(planned.av, software, planned.prompt)
+		if text == want || !whole && strings.HasPrefix(want, text) {
+			return
+		}
+		answers = append(answers, want)
 	}
-	if !whole && !strings.HasPrefix(want, text) {
-		record.addFault("wrong part of an answer: " + text + " instead of " + want)
+	fault := "wrong part of an answer: "
+	if whole {
+		fault = "wrong answer: "
 	}
+	record.addFault(fault + text + " instead of " + strings.Join(answers, " or "))
 }
 
 func readStream(body io.Reader, planned *plannedRequest, record *Record) {
--- a/standin/load/check_test.go
+++ b/standin/load/check_test.go
@@ -59,7 +59,7 @@
 // stream.
 func TestStream(t *testing.T) {
 	av := core.AdapterVersion{Adapter: "x", Version: "1"}
-	planned := &plannedRequest{av: av, prompt: engine.Prompt{Text: "p", Tokens: 3}}
+	planned := &plannedRequest{av: av, software: []core.SoftwareVersion{"1", "2"}, prompt: engine.Prompt{Text: "p", Tokens: 3}}
 	datadriven.RunTest(t, "testdata/stream", func(t *testing.T, line *datadriven.TestData) string {
 		var body strings.Builder
 		for _, argument := range line.CmdArgs {
@@ -69,10 +69,14 @@
 			case "error":
 				body.WriteString("event: error\ndata: {\"error\":{\"code\":\"stream_broken\",\"outcome\":\"ran\"}}\n\n")
 			default:
+				number, software, found := strings.Cut(argument.Key, "@")
+				if !found {
+					software = "1"
+				}
 				var offset core.Tokens
-				_, err := fmt.Sscan(argument.Key, &offset)
+				_, err := fmt.Sscan(number, &offset)
 				is.New(t).NoErr(err)
-				fmt.Fprintf(&body, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", engine.Token(av, "p", offset))
+				fmt.Fprintf(&body, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", engine.Token(av, core.SoftwareVersion(software), "p", offset))
 			}
 		}
 		var record Record
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -32,6 +32,8 @@
 	AdapterPrefix string
 	// Versions are the granted versions, the newest last.
 	Versions []core.Version
+	// Software lists the versions of the engines' software; "1" by default.
+	Software []core.SoftwareVersion
 	// Skew is the exponent of the Zipf distribution of requests over the adapters;
 	// it must be above 1.
 	Skew   float64
@@ -64,9 +66,11 @@
 	kind   Kind
 	av     core.AdapterVersion
 	pinned bool
-	prompt engine.Prompt
-	key    core.IdempotencyKey
-	record Record
+	// software lists the versions of the engines' software.
+	software []core.SoftwareVersion
+	prompt   engine.Prompt
+	key      core.IdempotencyKey
+	record   Record
 }
 
 // Generator sends requests and records their answers.
@@ -85,6 +89,9 @@
 	if len(settings.Targets) == 0 || settings.Rate <= 0 || settings.Adapters < 1 || len(settings.Versions) == 0 || settings.Skew <= 1 {
 		return nil, errors.New("targets, a positive rate, adapters, versions and a skew above 1 are required")
 	}
+	if len(settings.Software) == 0 {
+		settings.Software = []core.SoftwareVersion{engine.DefaultSoftware}
+	}
 	random := rand.New(rand.NewPCG(settings.Seed, settings.Seed))
 	return &Generator{
 		settings: settings, recorder: recorder, balancer: newBalancer(settings.Targets),
@@ -183,7 +190,7 @@
 // requests of the adapter share.
 func (generator *Generator) generate(number int) *plannedRequest {
 	settings := generator.settings
-	planned := &plannedRequest{id: fmt.Sprintf("%x-%d", settings.Seed, number), kind: Whole}
+	planned := &plannedRequest{id: fmt.Sprintf("%x-%d", settings.Seed, number), kind: Whole, software: settings.Software}
 	switch fraction := generator.random.Float64(); {
 	case fraction < settings.CallShare:
 		planned.kind = Call
