Reject odd entries among the announcements of upstreams

One entry of another writer could stop every VM from following the upstreams, or take a sound upstream out of service. Cause: the ID in the path of an announcement, its texts and its numbers were stored and passed on without a bound. An ID that is no UTF-8 cannot be encoded in a message between VMs, so each watch of the control VM ended at it, again and again. A birth far in the future kept the address of a sound upstream for ever; 9e18 slots made an entry the cheapest one; an ID with a line break became part of request headers.

--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -67,7 +67,12 @@
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	for _, message := range event.GetInstances() {
-		control.merge(now, peer.InstanceFromMessage(message))
+		instance := peer.InstanceFromMessage(message)
+		if faults := instance.Check(); len(faults) > 0 {
+			control.options.Logger.Warn("An upstream of another control VM is ignored.", "upstream", instance.Upstream, "error", faults[0])
+			continue
+		}
+		control.merge(now, instance)
 	}
 	control.mergeVerdicts(now, event.GetVerdicts())
 }
--- a/internal/control/upstream_cache.go
+++ b/internal/control/upstream_cache.go
@@ -42,9 +42,9 @@
 	if errors.Is(err, os.ErrNotExist) {
 		return
 	}
-	var instances []core.Instance
+	var entries []json.RawMessage
 	if err == nil {
-		err = json.Unmarshal(data, &instances)
+		err = json.Unmarshal(data, &entries)
 	}
 	if err != nil {
 		control.options.Logger.Warn("The file of the known upstreams could not be read.", "error", err)
@@ -52,7 +52,12 @@
 	}
 	control.cache.restored = make(map[core.UpstreamID]uint64)
 	control.cache.restoredUntil = now + restoredTTL
-	for _, instance := range instances {
+	for i, entry := range entries {
+		instance, err := decodeUpstream(entry)
+		if err != nil {
+			control.options.Logger.Warn("An entry of the file of the known upstreams is ignored.", "entry", i, "error", err)
+			continue
+		}
 		if instance.Gone || instance.Leaving {
 			continue
 		}
@@ -63,6 +68,18 @@
 	control.options.Logger.Info("Upstreams known before the start were taken in.", "upstreams", len(control.cache.restored))
 }
 
+// decodeUpstream decodes and checks one entry of the file.
+func decodeUpstream(entry json.RawMessage) (core.Instance, error) {
+	var instance core.Instance
+	if err := json.Unmarshal(entry, &instance); err != nil {
+		return core.Instance{}, errors.Wrap(err, "decode upstream")
+	}
+	if faults := instance.Check(); len(faults) > 0 {
+		return core.Instance{}, errors.Wrap(faults[0], "check upstream")
+	}
+	return instance, nil
+}
+
 // expireRestored marks the restored upstreams that have not announced themselves in time as
 // gone. The caller holds the lock.
 func (control *Control) expireRestored(now time.Duration) {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -175,6 +175,10 @@
 	now := clock.Now()
 	for _, message := range event.GetInstances() {
 		instance := peer.InstanceFromMessage(message)
+		if faults := instance.Check(); len(faults) > 0 {
+			follower.options.Logger.Warn("An upstream of a control VM is ignored.", "upstream", instance.Upstream, "control", vm, "error", faults[0])
+			continue
+		}
 		if table.SetInstance(now, instance) {
 			follower.options.Logger.Info("An upstream changed.", "upstream", instance.Upstream, "service", instance.Service,
 				"address", instance.Address, "leaving", instance.Leaving, "gone", instance.Gone, "silent", instance.Silent, "control", vm)
--- a/pkg/core/core_test.go
+++ b/pkg/core/core_test.go
@@ -20,6 +20,8 @@
 			return checkInput(t, line.Input, CheckGrants)
 		case "routes":
 			return checkInput(t, line.Input, func(table RouteTable) []ValidationError { return table.Check() })
+		case "instance":
+			return checkInput(t, line.Input, Instance.Check)
 		case "announcement":
 			return checkInput(t, line.Input, Announcement.Check)
 		default:
