Split watch events that are larger than a message between VMs

Entry VMs could not follow a control VM that knows very many upstreams. Cause: a watch begins with all upstreams in one event, and a message over 4 MiB ends the watch, which begins in the same way again. Evidence: TestManyUpstreamsFitMessages: 40,000 upstreams take more than 4 MiB in one event. Change: an event over 1 MiB is sent in parts, instances first. Measured: each part is below the limit; TestSplitEvent finds nothing lost, repeated or out of order in drawn events.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -223,8 +223,10 @@
 		case <-subscriber.signal:
 		}
 		event := control.buildEvent(subscriber, control.hub.takePending(subscriber))
-		if err := send(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: event}}); err != nil {
-			return
+		for _, part := range splitEvent(event, maxEventBytes) {
+			if err := send(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: part}}); err != nil {
+				return
+			}
 		}
 		timer := time.NewTimer(delay)
 		select {
