Reject odd reports and names of weights

A report of an engine, or an announced revision, with very many or very long names went to every VM and ended their watches; a running number of 9e18 made an engine's utilization meaningless. Cause: reports and names of weights were stored without a bound.

--- a/pkg/core/route.go
+++ b/pkg/core/route.go
@@ -157,6 +157,11 @@
 	return string(key.Model) + "/" + string(key.Adapter)
 }
 
+// Valid reports whether model and adapter have names that can be stored and sent to every VM.
+func (key WeightKey) Valid() bool {
+	return isName(string(key.Model)) && (key.Adapter == "" || isName(string(key.Adapter)))
+}
+
 // ModelResidency is a base model in an engine's memory and the loaded revisions of its
 // adapters.
 type ModelResidency struct {
--- a/pkg/policy/residency/order.go
+++ b/pkg/policy/residency/order.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -91,6 +92,29 @@
 	Holdings []Holding
 }
 
+// The bounds of a report. An engine has some ten places for adapters.
+const (
+	maxHoldings = 4096
+	maxRunning  = 65536
+)
+
+// Check returns an error if the report cannot be that of an engine. What it lists is sent to
+// every VM.
+func (state State) Check() error {
+	if len(state.Holdings) > maxHoldings {
+		return fmt.Errorf("the report lists %d weights, over the limit of %d", len(state.Holdings), maxHoldings)
+	}
+	if state.Running < 0 || state.Running > maxRunning {
+		return fmt.Errorf("%d running requests are not in 0..%d", state.Running, maxRunning)
+	}
+	for i, holding := range state.Holdings {
+		if !holding.Weights.Valid() {
+			return fmt.Errorf("the name of weights %d is empty, longer than 128 bytes or not text", i)
+		}
+	}
+	return nil
+}
+
 // Change is a change of the weights for which an engine serves requests.
 type Change struct {
 	Upstream core.UpstreamID
