Bound the request IDs that the table of origins keeps

Callers with very long request IDs could fill the memory of a control VM. Cause: the table of origins bounds its number of streams but kept IDs of any length; a head may have 16 KiB. Evidence: by reading; 65,536 IDs of 16 KiB take 1 GiB, a control VM has 280 MB. Change: an ID over 128 bytes is not kept, and its stream is not continued for the caller.

--- a/pkg/policy/origin/table.go
+++ b/pkg/policy/origin/table.go
@@ -13,6 +13,9 @@
 	// maxStreams bounds the streams of one table. At the design size a control VM gets the
 	// records of 650 streams a second, which fill it in 100 s. An entry has about 200 bytes.
 	maxStreams = 65536
+	// maxIDLength bounds the ID of a request, which its caller chooses, in bytes. A stream that
+	// began with a longer one is not continued for its caller.
+	maxIDLength = 128
 )
 
 // Origin is the send of a request that brought the first event of a stream, or may have.
@@ -45,10 +48,13 @@
 	first int
 }
 
-// Add stores the origin of a stream. It keeps a later send of the same request. The oldest
+// Add stores the origin of a stream, unless the ID of the request is too long. It keeps a later send of the same request. The oldest
 // streams are removed if there are too many.
 func (table *Table) Add(now time.Duration, request core.RequestID, origin Origin) {
 	table.removeExpired(now)
+	if len(request) > maxIDLength {
+		return
+	}
 	if known, ok := table.entries[request]; ok {
 		if origin.Newer(known.origin) {
 			table.entries[request] = entry{origin, known.since}
