Reject odd announcements to the own deployments

An announcement with numbers that do not fit the messages between VMs, names that no header can carry, or a port out of range was accepted by the VMs of the own deployments. Cause: only empty and negative fields were checked; 4,294,967,297 queued calls became one in the message to the owner, and an age of 18,446,744,073,709 ms a negative one. Change: Announcement.Check bounds every field; the address must be an IP number and a port.

--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"math"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -64,7 +66,7 @@
 		BatchSize:     message.BatchSize,
 		Queued:        message.Queued,
 		Running:       message.Running,
-		ReportAge:     time.Duration(message.ReportAgeMillis) * time.Millisecond,
+		ReportAge:     reportAge(message.ReportAgeMillis),
 		LastFencing:   message.LastFencing,
 	}
 	for _, entry := range message.Resident {
@@ -73,7 +75,20 @@
 			Running:        entry.Running,
 		})
 	}
-	return result, result.Check(), nil
+	faults := result.Check()
+	if parsed, err := netip.ParseAddrPort(message.Address); err != nil || parsed.Port() == 0 || parsed.Addr().IsUnspecified() {
+		faults = append(faults, core.ValidationError{Place: "Address", Reason: "no IP number and port"})
+	}
+	return result, faults, nil
+}
+
+// reportAge returns milliseconds as a duration, or a negative one if they are negative or do
+// not fit.
+func reportAge(millis int64) time.Duration {
+	if millis < 0 || millis > math.MaxInt64/int64(time.Millisecond) {
+		return -1
+	}
+	return time.Duration(millis) * time.Millisecond
 }
 
 // parseKind returns the group kind with the given name, or zero if there is none.
--- a/pkg/core/upstream.go
+++ b/pkg/core/upstream.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Resident is an adapter version that is loaded on an engine.
 type Resident struct {
@@ -51,6 +54,10 @@
 	maxSlots          = 4096
 	maxBatchSize      = 65536
 	maxSoftwareLength = 64
+	// maxAnnouncedCalls bounds the calls that an upstream reports, and maxReportAge the age of
+	// the report.
+	maxAnnouncedCalls = 1 << 20
+	maxReportAge      = time.Hour
 )
 
 // Check returns all faults of the announcement, and nil if it is valid.
@@ -61,20 +68,27 @@
 			faults = append(faults, ValidationError{place, reason})
 		}
 	}
-	addIf(announcement.Upstream == "", "Upstream", "empty")
-	addIf(announcement.Incarnation == "", "Incarnation", "empty")
-	addIf(announcement.Address == "", "Address", "empty")
+	const notToken, notName = "empty, longer than 128 bytes or not printable ASCII", "empty, longer than 128 bytes or not text"
+	addIf(!isToken(string(announcement.Upstream)), "Upstream", notToken)
+	addIf(!isToken(string(announcement.Incarnation)), "Incarnation", notToken)
+	addIf(!isToken(announcement.Address), "Address", notToken)
 	addIf(len(announcement.Software) > maxSoftwareLength, "Software", "longer than 64 bytes")
-	addIf(announcement.Group.Zone == "", "Zone", "empty")
-	addIf(announcement.Group.Name == "", "Name", "empty")
+	addIf(!isName(string(announcement.Group.Zone)), "Zone", notName)
+	addIf(!isName(announcement.Group.Name), "Name", notName)
 	addIf(announcement.Group.Kind != EngineGroup && announcement.Group.Kind != ServiceGroup, "Kind", "neither engine nor service")
 	if announcement.Group.Kind == EngineGroup {
 		addIf(announcement.Slots < 1 || announcement.Slots > maxSlots, "Slots", "not in 1..4096")
 		addIf(announcement.BatchSize < 1 || announcement.BatchSize > maxBatchSize, "BatchSize", "not in 1..65536")
 		addIf(len(announcement.Resident) > announcement.Slots, "Resident", "more than Slots")
 	}
-	addIf(announcement.Queued < 0, "Queued", "negative")
-	addIf(announcement.Running < 0, "Running", "negative")
-	addIf(announcement.ReportAge < 0, "ReportAge", "negative")
+	for i, resident := range announcement.Resident {
+		if !isName(string(resident.Adapter)) || !isName(string(resident.Version)) || resident.Running < 0 || resident.Running > maxAnnouncedCalls {
+			addIf(true, fmt.Sprintf("Resident[%d]", i), "a name that is "+notName+", or Running not in 0..1048576")
+			break
+		}
+	}
+	addIf(announcement.Queued < 0 || announcement.Queued > maxAnnouncedCalls, "Queued", "not in 0..1048576")
+	addIf(announcement.Running < 0 || announcement.Running > maxAnnouncedCalls, "Running", "not in 0..1048576")
+	addIf(announcement.ReportAge < 0 || announcement.ReportAge > maxReportAge, "ReportAge", "not in 0 s to 1 h")
 	return faults
 }
