Give a request whose ID was answered before a connection of its own

A caller that sends an ID again could be told that its request has not run although it ran: an upstream that wrote an earlier refusal once more, on the connection on which the second request with the ID was sent, answered that one with it. Cause: the ID in a response tells which request it belongs to, but two requests with one ID cannot be told apart by it. Requests with IDs of their own were safe: the copy is skipped, or the connection is given up if it names no request. Change: a connection remembers the IDs of the last 32 requests that it has answered; a request with one of them goes on a new connection. Within one request the gateway sends to each upstream once, so it needs no more.

--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -226,7 +226,8 @@
 	})
 }
 
-// runCase sends one request, or as many as the argument requests states. The input holds
+// runCase sends one request, as many as the argument requests states, or one with each ID of
+// the argument ids. The input holds
 // the responses of the upstreams, separated by lines of two dashes. A line feed becomes
 // CR LF in the head of a response and stays as it is in the body. What follows LATE is sent
 // on the same connection after the next request has arrived there, with CR LF everywhere.
@@ -237,7 +238,8 @@
 			upstreams.answers = append(upstreams.answers, strings.ReplaceAll(part, `\n`, "\n"))
 		}
 	}
-	count, kind, attempts, requests := 3, "idempotent", 2, 1
+	count, kind, attempts := 3, "idempotent", 2
+	ids := []string{"r1"}
 	records := &memoryRecorder{}
 	header := make(map[string]string)
 	// takeUp holds the last event and the origin of one more request that continues a stream.
@@ -249,7 +251,12 @@
 		case "upstreams":
 			count, _ = strconv.Atoi(arg.Vals[0])
 		case "requests":
-			requests, _ = strconv.Atoi(arg.Vals[0])
+			requests, _ := strconv.Atoi(arg.Vals[0])
+			for i := 1; i < requests; i++ {
+				ids = append(ids, fmt.Sprintf("r%d", i+1))
+			}
+		case "ids":
+			ids = arg.Vals
 		case "software":
 			upstreams.software, count = arg.Vals, len(arg.Vals)
 		case "kind":
@@ -295,8 +302,8 @@
 	server := httptest.NewServer(gateway)
 	defer server.Close()
 	text := ""
-	for i := range requests {
-		text += sendRequest(server, fmt.Sprintf("r%d", i+1), header)
+	for _, id := range ids {
+		text += sendRequest(server, id, header)
 	}
 	if len(takeUp) > 0 {
 		header["Last"], header["Origin"] = takeUp[0], takeUp[1]
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -78,7 +78,7 @@
 	if call.maxConns > 0 {
 		limit = max(1, call.maxConns/call.gateway.options.Table.EntryVMs())
 	}
-	conn, err := call.gateway.conns.Get(ctx, attempt.key, limit)
+	conn, err := attempt.connect(ctx, limit)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, h1.ErrExhausted) {
 			attempt.observe(fleet.Unreachable)
@@ -102,6 +102,19 @@
 	return attempt.exchange(ctx)
 }
 
+// connect returns a connection to the upstream. One that has carried a response to a request
+// with the same ID is replaced by a new one: callers may send an ID again, and an upstream that
+// sends the earlier response once more would answer the second request with it.
+func (attempt *attempt) connect(ctx context.Context, limit int) (*h1.Conn, error) {
+	pool := &attempt.call.gateway.conns
+	conn, err := pool.Get(ctx, attempt.key, limit)
+	if err != nil || !conn.HasAnswered(string(attempt.call.request.ID)) {
+		return conn, err
+	}
+	pool.Drop(attempt.key, conn)
+	return pool.Dial(ctx, attempt.key)
+}
+
 // observe reports the result of the send to the table of upstreams.
 func (attempt *attempt) observe(result fleet.RequestResult) {
 	attempt.call.gateway.options.Table.Observe(clock.Now(), attempt.selection, result)
@@ -235,6 +248,7 @@
 			return nil, ResponseInfo{}, errUnidentified
 		}
 		if !info.Foreign {
+			attempt.conn.Answered(string(call.request.ID))
 			return response, info, nil
 		}
 		if response.ContentLength < 0 {
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -5,11 +5,13 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 )
 
@@ -51,6 +53,32 @@
 	responseRead bool
 	// requests is the number of requests that were sent.
 	requests int
+	// answered holds the hashes of the IDs of the requests that were answered last, of which
+	// nextAnswered is replaced next.
+	answered     []uint64
+	nextAnswered int
+}
+
+// maxAnswered is the number of requests whose IDs a connection remembers. An upstream that sends
+// a response once more does so soon after the first time.
+const maxAnswered = 32
+
+// Answered notes that the connection has carried a response to a request with the ID.
+func (conn *Conn) Answered(id string) {
+	hash := xxhash.Sum64String(id)
+	if len(conn.answered) < maxAnswered {
+		conn.answered = append(conn.answered, hash)
+		return
+	}
+	conn.answered[conn.nextAnswered] = hash
+	conn.nextAnswered = (conn.nextAnswered + 1) % maxAnswered
+}
+
+// HasAnswered reports whether the connection has carried a response to a request with the ID
+// recently. If such a request is sent again, that response may come once more, and the ID does
+// not tell the two apart.
+func (conn *Conn) HasAnswered(id string) bool {
+	return slices.Contains(conn.answered, xxhash.Sum64String(id))
 }
 
 // Reused reports whether the last request was not the first one on the connection. Only
