Do not trust the software version of a process that seems to have ended

A process that starts under the ID of an earlier one, with other software, could get that one's streams until its announcement is known. Cause: the version of an upstream was that of its last announcement, also after its process had ended. Change: a refused connection marks the process. Until a new birth, or two further announcements of the same one, no stream is continued there, and the version of a stream that begins there is not known.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -121,6 +121,9 @@
 	if changed || statusChanged {
 		table.rebuildUpstreams()
 	}
+	if known := table.upstreams[instance.Upstream]; known != nil && known.instance.Born == instance.Born && instance.Sequence >= known.endedSequence+endedAnnouncements {
+		known.ended = false
+	}
 	return changed || statusChanged
 }
 
@@ -210,7 +213,7 @@
 	defer table.lock.Unlock()
 	engines := make(map[core.ZoneID]int)
 	for _, known := range table.services[query.Service] {
-		if !known.instance.Silent && query.Origin.Allows(known.instance.Software) {
+		if !known.instance.Silent && query.Origin.Allows(known.software()) {
 			engines[known.instance.Zone]++
 		}
 	}
@@ -321,7 +324,7 @@
 	table.countSend(found[at], query)
 	instance := found[at].instance
 	return Selection{
-		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: instance.Software,
+		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: found[at].software(),
 		Revision: revision, Cost: cost, Weights: query.Weights, Limit: found[at].stated.limit,
 	}, true
 }
@@ -332,7 +335,7 @@
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	return slices.ContainsFunc(table.services[query.Service], func(known *upstream) bool {
-		return query.Origin.Allows(known.instance.Software) && !slices.Contains(query.Exclude, known.instance.Upstream)
+		return query.Origin.Allows(known.software()) && !slices.Contains(query.Exclude, known.instance.Upstream)
 	})
 }
 
@@ -348,7 +351,7 @@
 // holdsFor reports whether an upstream could serve the query if it stated no limit. The
 // caller holds the lock.
 func (table *Table) holdsFor(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
-	if known.backoffUntil > now || slices.Contains(query.Exclude, known.instance.Upstream) || !query.Origin.Allows(known.instance.Software) {
+	if known.backoffUntil > now || slices.Contains(query.Exclude, known.instance.Upstream) || !query.Origin.Allows(known.software()) {
 		return false
 	}
 	if query.Weights.Model == "" {
@@ -373,12 +376,12 @@
 	defer table.lock.Unlock()
 	known := table.upstreams[id]
 	revision := table.revisions[query.Weights]
-	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.instance.Software) {
+	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) {
 		return Selection{}, false
 	}
 	table.countSend(known, query)
 	return Selection{
-		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.instance.Software,
+		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.software(),
 		Revision: revision, Cost: table.candidate(now, known).Cost(), Weights: query.Weights, Limit: known.stated.limit,
 	}, true
 }
@@ -442,6 +445,15 @@
 	known.backoffUntil = now + min(maxBackoff, minBackoff<<min(known.connectFailures-1, 5))
 }
 
+// MarkEnded notes that the selected process refuses connections and so seems to have ended.
+func (table *Table) MarkEnded(selected Selection) {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if known := table.upstreams[selected.Upstream]; known != nil && known.instance.Born == selected.Born {
+		known.ended, known.endedSequence = true, known.instance.Sequence
+	}
+}
+
 // EndExpected reports whether the selected process had announced that it leaves, or is
 // known no more.
 func (table *Table) EndExpected(selected Selection) bool {
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -24,6 +24,10 @@
 	stated   statedLimit
 	// backoffUntil is the time until which no request is sent to it.
 	backoffUntil time.Duration
+	// ended is set once the process seemed to have ended, and endedSequence is the number of the
+	// last announcement that was known then.
+	ended         bool
+	endedSequence uint64
 	// connectFailures counts the successive results that were Unreachable.
 	connectFailures int
 }
@@ -61,6 +65,20 @@
 	return !upstream.instance.Leaving && !upstream.instance.Gone
 }
 
+// endedAnnouncements is the number of announcements after which a process that seemed to have
+// ended is known to go on. The one that follows may have been made before.
+const endedAnnouncements = 2
+
+// software returns the version of the upstream's software. It is not known once the process
+// seemed to have ended: another one may have started under its ID, with other software, and not
+// have announced itself yet.
+func (upstream *upstream) software() core.SoftwareVersion {
+	if upstream.ended {
+		return ""
+	}
+	return upstream.instance.Software
+}
+
 // heldRevision returns the revision of weights that the upstream holds, and false if it
 // does not hold them.
 func (upstream *upstream) heldRevision(key core.WeightKey) (core.Revision, bool) {
--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -119,6 +119,7 @@
 		logger.Info("An upstream closed connections but still accepts new ones.", "upstream", key.Upstream, "requests", len(lost.requests))
 	case errors.Is(err, syscall.ECONNREFUSED):
 		endedUpstreams.Inc("ended", unanswered)
+		watch.gateway.options.Table.MarkEnded(selection)
 		logger.Info("An upstream process has ended.", "upstream", key.Upstream, "born", key.Born, "requests", lost.requests, "unanswered", len(lost.suspects))
 		if guard := watch.gateway.options.Crashes; guard != nil && !watch.gateway.options.Table.EndExpected(selection) {
 			guard.Crashed(key.Upstream, key.Born, time.Since(lost.at), lost.suspects)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -83,6 +84,9 @@
 		if ctx.Err() == nil && !errors.Is(err, h1.ErrExhausted) {
 			attempt.observe(fleet.Unreachable)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			call.gateway.options.Table.MarkEnded(attempt.selection)
+		}
 		attempt.log("no connection", err)
 		return tryAnother
 	}
