Do not continue a stream after an event that has no usable ID

Callers could get the events of a stream twice, and an upstream could get a header that no caller sent. Cause: a stream that broke off after events without an ID was resumed without one, which is a new stream; and the ID of an event was put into the next request's head as it came, with a carriage return in it too. Found by reading. Change: the stream is broken off instead.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -99,8 +99,7 @@
 			reason, call.retryAfter = "the content of the request crashes upstreams", left
 			break
 		}
-		if !call.origin().Possible() {
-			reason = unknownSoftware
+		if reason = call.cannotContinue(); reason != "" {
 			break
 		}
 		selection, why, ok := call.chooseAdmitted(ctx)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -23,6 +23,7 @@
 const (
 	noSoftware      = "no further upstream has the software version that began the stream"
 	unknownSoftware = "the software version that began the stream is not known"
+	unknownEvent    = "the last event of the stream has no ID after which it could be continued"
 	otherService    = "the route does not lead to the service that began the stream any more"
 )
 
@@ -97,6 +98,19 @@
 	return origin.Requirement{Continues: call.events > 0 || call.continues(), Software: call.software}
 }
 
+// cannotContinue returns the reason why no upstream can continue the stream after the events
+// that its caller has received, and "" if one can, or if there are none.
+func (call *call) cannotContinue() string {
+	switch {
+	case !call.origin().Possible():
+		return unknownSoftware
+	case call.events > 0 && call.lastEvent == "":
+		return unknownEvent
+	default:
+		return ""
+	}
+}
+
 // noteBeginning stores the origin of the stream at its first event, for the caller's next
 // request.
 func (attempt *attempt) noteBeginning() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,7 +37,7 @@
 				attempt.drop()
 				return finished
 			}
-			if id := lastEventID(whole); id != "" {
+			if id, ok := lastEventID(whole); ok {
 				call.lastEvent = id
 			}
 		}
@@ -143,8 +143,13 @@
 // atBoundary reports whether no part of an event is pending.
 func (splitter *eventSplitter) atBoundary() bool { return len(splitter.pending) == splitter.returned }
 
-// lastEventID returns the ID of the last event that has one, or "".
-func lastEventID(whole []byte) string {
+// maxEventIDLength bounds the ID of an event that is put into a header, in bytes.
+const maxEventIDLength = 256
+
+// lastEventID returns the ID of the last event that has one, and false if there are neither IDs
+// nor data. It returns "" if the stream cannot be continued after the events: they have data but
+// no ID, or one that no header can carry.
+func lastEventID(whole []byte) (string, bool) {
 	at := bytes.LastIndex(whole, []byte("\nid:"))
 	switch {
 	case at >= 0:
@@ -152,8 +157,12 @@
 	case bytes.HasPrefix(whole, []byte("id:")):
 		whole = whole[len("id:"):]
 	default:
-		return ""
+		return "", bytes.Contains(whole, []byte("data:"))
 	}
 	line, _, _ := bytes.Cut(whole, []byte("\n"))
-	return string(bytes.TrimSpace(line))
+	id := bytes.TrimSpace(line)
+	if len(id) > maxEventIDLength || bytes.ContainsFunc(id, func(char rune) bool { return char < ' ' || char == 0x7f }) {
+		return "", true
+	}
+	return string(id), true
 }
