Record a send of a stream whose software version is not known

A caller's stream could be continued at the version of an earlier send of its request, although a later one, to an upstream of unknown version, had brought its events. Cause: the record of such a send named no version, and control VMs ignored it, so the record of the send before stayed the origin. Change: the record says that the version is unknown; the origin is then unknown too, and the stream is refused.

--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -68,9 +68,13 @@
 	if err != nil {
 		return
 	}
+	from := origin.Origin{Service: record.Service, Software: record.Software, Send: send}
+	if from.Software == audit.UnknownSoftware {
+		from.Software = ""
+	}
 	origins.lock.Lock()
 	defer origins.lock.Unlock()
-	origins.table.Add(now, record.Request, origin.Origin{Service: record.Service, Software: record.Software, Send: send})
+	origins.table.Add(now, record.Request, from)
 	for _, known := range origins.waiting[record.Request] {
 		close(known)
 	}
--- a/internal/control/origin_test.go
+++ b/internal/control/origin_test.go
@@ -37,8 +37,9 @@
 }
 
 // TestOriginsFromRecords guards against an origin that a batch of audit records states and that
-// is not found, or found for records that state none: ends, sends without a known version, and
-// content that is no record.
+// is not found, or found for records that state none: ends, sends without a version, and
+// content that is no record; and against an earlier send that is taken for the origin although
+// a later one, to an upstream whose version is not known, may have brought the events.
 func TestOriginsFromRecords(t *testing.T) {
 	is := is.New(t)
 	end := startRecord("r3", 1, "v1")
@@ -48,7 +49,7 @@
 	batch := &wire.Audit{}
 	for _, payload := range []audit.Payload{
 		encodeRecord(t, startRecord("r1", 2, "v2")), encodeRecord(t, startRecord("r1", 1, "v1")), encodeRecord(t, startRecord("r2", 1, "")),
-		encodeRecord(t, end), encodeRecord(t, odd), audit.Payload(`{"Software":7}`), audit.Payload(`{"Software":`),
+		encodeRecord(t, startRecord("r6", 1, "v1")), encodeRecord(t, startRecord("r6", 2, audit.UnknownSoftware)), encodeRecord(t, end), encodeRecord(t, odd), audit.Payload(`{"Software":7}`), audit.Payload(`{"Software":`),
 	} {
 		batch.Entries = append(batch.Entries, &wire.AuditEntry{Record: payload})
 	}
@@ -58,6 +59,9 @@
 	is.True(found)
 	is.True(!waited)
 	is.Equal(from, origin.Origin{Service: "s", Software: "v2", Send: 2})
+	from, found, _ = known.await(t.Context(), "r6", 0)
+	is.True(found)
+	is.Equal(from, origin.Origin{Service: "s", Send: 2}) // its last send may have brought events
 	for _, request := range []core.RequestID{"r2", "r3", "r5", "unknown"} {
 		_, found, _ := known.await(t.Context(), request, 0)
 		is.True(!found)
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"strconv"
 	"time"
@@ -78,7 +79,7 @@
 		Config:  call.tableNumber, Route: call.route.Name, Service: call.service, Upstream: selection.Upstream, Zone: selection.Zone,
 	}
 	if call.route.Kind == core.Stream && event == audit.EventStart {
-		record.Software = selection.Software
+		record.Software = cmp.Or(selection.Software, audit.UnknownSoftware)
 	}
 	if call.request.Weights.Model != "" {
 		record.Adapter = core.AdapterID(call.request.Weights.String())
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -17,6 +17,11 @@
 	EventRoutes Event = "routes"
 )
 
+// UnknownSoftware is the value of Record.Software for an upstream whose version is not known. It
+// differs from none, so that the send of a stream to such an upstream replaces an earlier one of
+// the request as the stream's origin.
+const UnknownSoftware core.SoftwareVersion = "unknown"
+
 // RouteTargets maps each route of a table to the services that it allows.
 type RouteTargets map[core.RouteName][]core.ServiceID
 
@@ -59,8 +64,8 @@
 	// Targets is set for EventRoutes: the services that each route of the table allows.
 	Targets  RouteTargets    `json:",omitempty"`
 	Upstream core.UpstreamID `json:",omitempty"`
-	// Software is the version of the upstream's software. It is set for the sends of streams,
-	// which may be continued at that version only.
+	// Software is the version of the upstream's software, or UnknownSoftware. It is set for the
+	// sends of streams, which may be continued at that version only.
 	Software core.SoftwareVersion `json:",omitempty"`
 	Zone     core.ZoneID          `json:",omitempty"`
 	Outcome  string               `json:",omitempty"`
