--- a/internal/control/origin_test.go
+++ b/internal/control/origin_test.go
@@ -44,12 +44,12 @@
 	is := is.New(t)
 	end := startRecord("r3", 1, "v1")
 	end.Event = audit.EventEnd
-	odd := startRecord("r5", 1, "v1")
-	odd.Attempt = "r5"
+	unnumbered := startRecord("r5", 1, "v1")
+	unnumbered.Attempt = "r5"
 	batch := &wire.Audit{}
 	for _, payload := range []audit.Payload{
 		encodeRecord(t, startRecord("r1", 2, "v2")), encodeRecord(t, startRecord("r1", 1, "v1")), encodeRecord(t, startRecord("r2", 1, "")),
-		encodeRecord(t, startRecord("r6", 1, "v1")), encodeRecord(t, startRecord("r6", 2, audit.UnknownSoftware)), encodeRecord(t, end), encodeRecord(t, odd), audit.Payload(`{"Software":7}`), audit.Payload(`{"Software":`),
+		encodeRecord(t, startRecord("r6", 1, "v1")), encodeRecord(t, startRecord("r6", 2, audit.UnknownSoftware)), encodeRecord(t, end), encodeRecord(t, unnumbered), audit.Payload(`{"Software":7}`), audit.Payload(`{"Software":`),
 	} {
 		batch.Entries = append(batch.Entries, &wire.AuditEntry{Record: payload})
 	}
@@ -78,7 +78,7 @@
 		var known origins
 		started := time.Now()
 		go func() {
-			time.Sleep(100 * time.Millisecond)
+			<-time.After(100 * time.Millisecond)
 			known.add(clock.Now(), startRecord("r1", 1, "v1"))
 		}()
 		from, found, waited := known.await(t.Context(), "r1", 400*time.Millisecond)
@@ -120,7 +120,7 @@
 		_, found, _ = known.await(t.Context(), "r1", maxOriginWait)
 		is.True(found)
 		is.Equal(time.Since(started), time.Duration(0))
-		time.Sleep(2 * maxOriginWait)
+		<-time.After(2 * maxOriginWait)
 		synctest.Wait()
 		is.Equal(known.waiters, 0)
 		is.Equal(len(known.waiting), 0)
--- a/internal/control/upstream_cache_test.go
+++ b/internal/control/upstream_cache_test.go
@@ -46,11 +46,11 @@
 	is.True(!known[0].Gone)
 	is.True(known[1].Gone)
 
-	// An odd entry of a former version does not hide the others.
+	// An invalid entry of a former version does not hide the others.
 	data, err := os.ReadFile(path)
 	is.NoErr(err)
-	odd := `[{"Upstream":"odd","Born":1,"Sequence":1,"Service":"s","Address":"10.0.0.1:z","Zone":"z","Slots":9000000000000000000},{"Slots":"many"},`
-	is.NoErr(os.WriteFile(path, append([]byte(odd), data[1:]...), cacheFileMode))
+	invalid := `[{"Upstream":"invalid","Born":1,"Sequence":1,"Service":"s","Address":"10.0.0.1:z","Zone":"z","Slots":9000000000000000000},{"Slots":"many"},`
+	is.NoErr(os.WriteFile(path, append([]byte(invalid), data[1:]...), cacheFileMode))
 	mixed := New(options, NewPeers(Peer{VM: "c", Zone: "z"}))
 	mixed.restoreUpstreams(0)
 	known = mixed.snapshot(false).instances
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -115,7 +115,7 @@
 		if _, ok := follower.FindOrigin(t.Context(), "another", time.Second); ok || time.Since(started) > 0 {
 			t.Errorf("a question over the bound waited for %v", time.Since(started))
 		}
-		time.Sleep(2 * time.Second)
+		<-time.After(2 * time.Second)
 		if left := follower.originQueries.Load(); left != 0 {
 			t.Errorf("%d questions are still counted", left)
 		}
