Continue a stream of unknown origin where one version alone served

Callers that do not name the request which brought the first event of their stream, and those whose origin was lost with a VM, were refused although the service had only one software version. Cause: a version that is not known was refused in every case. Change: control VMs keep the versions that upstreams of each service announced in the last 40 s, to any of them, also across a restart. If a majority of them, and all that answer, know of one only, that one began the stream. A control VM with an empty disk does not say so for 40 s, and a route that leads to several services has no such one.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,6 +16,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/policy/throttle"
 )
@@ -56,6 +57,9 @@
 	EnginesCheckTokens bool
 	// AnnounceInterval is the interval at which upstreams announce themselves.
 	AnnounceInterval time.Duration
+	// FirstStart is set when the deployment starts for the first time, so that nothing has run
+	// before. It may stay set when the VM is started again.
+	FirstStart bool
 	// RecallFile is the path of the file that keeps the known upstreams across a restart;
 	// empty for none.
 	RecallFile string
@@ -98,6 +102,8 @@
 	// revisionIndex is the log index of the last adapter revision that was applied.
 	revisionIndex uint64
 	cache         upstreamCache
+	// versions holds the software versions that upstreams announced lately, to any control VM.
+	versions origin.History
 	// judge decides which content of requests crashes upstreams.
 	judge conviction.Judge
 	// throttles holds the limits of upstreams and grants turns at them.
@@ -160,11 +166,7 @@
 // Run restores the known upstreams and runs the loops of the control VM. It returns after
 // the context has ended.
 func (control *Control) Run(ctx context.Context) {
-	control.lock.Lock()
-	if control.cache.path != "" {
-		control.restoreUpstreams(clock.Now())
-	}
-	control.lock.Unlock()
+	control.beginHistory()
 	var running sync.WaitGroup
 	if control.options.RecordFolder != "" {
 		running.Go(func() { control.origins.restore(control.options.RecordFolder, control.options.Logger) })
@@ -178,6 +180,20 @@
 	running.Wait()
 }
 
+// beginHistory restores the known upstreams. Without them, on a disk that is empty though the
+// deployment has run before, it is not known at first which software served.
+func (control *Control) beginHistory() {
+	now := clock.Now()
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	if !control.options.FirstStart {
+		control.versions.Start(now)
+	}
+	if control.cache.path != "" {
+		control.restoreUpstreams(now)
+	}
+}
+
 // Announce handles the announcement of an upstream.
 func (control *Control) Announce(instance core.Instance) {
 	now := clock.Now()
@@ -209,6 +225,7 @@
 // merge updates the known upstreams with one that was announced to this VM or to another
 // control VM. The caller holds the lock.
 func (control *Control) merge(now time.Duration, instance core.Instance) {
+	control.versions.Note(now, instance.Service, instance.Software)
 	announced := control.known.Announce(now, instance)
 	statusChanged := control.known.Merge(instance)
 	if !announced && !statusChanged {
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -145,12 +145,18 @@
 // answerOriginQuery answers the question of an entry VM about the origin of a stream.
 func (control *Control) answerOriginQuery(ctx context.Context, query *wire.OriginQuery) *wire.OriginResult {
 	wait := time.Duration(min(query.GetWaitMillis(), uint64(maxOriginWait.Milliseconds()))) * time.Millisecond
-	from, found, waited := control.origins.await(ctx, core.RequestID(query.GetRequest()), wait)
+	var from origin.Origin
+	var found, waited bool
+	if query.GetRequest() != "" {
+		from, found, waited = control.origins.await(ctx, core.RequestID(query.GetRequest()), wait)
+	}
 	originCounts.Inc(strconv.FormatBool(found), strconv.FormatBool(waited))
-	if !found {
-		return &wire.OriginResult{}
+	if found {
+		return peer.OriginMessage(from)
 	}
-	return peer.OriginMessage(from)
+	control.lock.Lock()
+	defer control.lock.Unlock()
+	return &wire.OriginResult{Sole: string(control.versions.Sole(clock.Now(), core.ServiceID(query.GetService())))}
 }
 
 // restore adds the origins in the newest audit files of a folder, so that streams can be
--- a/internal/control/origin_test.go
+++ b/internal/control/origin_test.go
@@ -149,3 +149,37 @@
 	none.restore(filepath.Join(folder, "missing"), log.New(io.Discard))
 	is.Equal(none.table.Len(), 0)
 }
+
+// TestSoleVersion guards against a stream of unknown origin that is continued at the only version
+// in service although another one served a moment ago, or at all on a control VM that has not
+// listened for long enough, and against one that is refused although one version alone served.
+// Package origin tests the times.
+func TestSoleVersion(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "upstreams.json")
+	start := func(first bool, file string) *Control {
+		control := New(Options{VM: "c", Zone: "z", FirstStart: first, RecallFile: file, AnnounceInterval: time.Second, Logger: log.New(io.Discard)}, NewPeers(Peer{VM: "c", Zone: "z"}))
+		control.beginHistory()
+		return control
+	}
+	sole := func(control *Control) string {
+		return control.answerOriginQuery(t.Context(), &wire.OriginQuery{Service: "s"}).GetSole()
+	}
+	announce := func(control *Control, id core.UpstreamID, software core.SoftwareVersion) {
+		control.Announce(core.Instance{Upstream: id, Born: 1, Sequence: uint64(time.Now().UnixMilli()), Service: "s", Software: software, Address: "10.0.0.1:" + string(id), Zone: "z", Slots: 1})
+	}
+	first := start(true, path)
+	is.Equal(sole(first), "")
+	announce(first, "1", "v1")
+	is.Equal(sole(first), "v1")
+	announce(first, "2", "v2")
+	first.Deregister("2")
+	is.Equal(sole(first), "") // it served a moment ago
+	first.saveUpstreams()
+
+	again := start(false, path)
+	is.Equal(sole(again), "") // the version that left is in the file
+	empty := start(false, filepath.Join(t.TempDir(), "missing"))
+	announce(empty, "1", "v1")
+	is.Equal(sole(empty), "") // it cannot know what served before
+}
--- a/internal/control/upstream_cache.go
+++ b/internal/control/upstream_cache.go
@@ -50,6 +50,8 @@
 		control.options.Logger.Warn("The file of the known upstreams could not be read.", "error", err)
 		return
 	}
+	// The file holds all that were known at most saveInterval before the end.
+	control.versions.CompleteFrom = now
 	control.cache.restored = make(map[core.UpstreamID]uint64)
 	control.cache.restoredUntil = now + restoredTTL
 	for i, entry := range entries {
@@ -58,6 +60,7 @@
 			control.options.Logger.Warn("An entry of the file of the known upstreams is ignored.", "entry", i, "error", err)
 			continue
 		}
+		control.versions.Note(now, instance.Service, instance.Software)
 		if instance.Gone || instance.Leaving {
 			continue
 		}
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -26,6 +26,8 @@
 	failed bool
 	found  bool
 	origin origin.Origin
+	// sole is the only version of the service that it knows.
+	sole core.SoftwareVersion
 }
 
 // askedControlVMs answer questions about the origins of streams.
@@ -44,7 +46,7 @@
 	if reply.failed {
 		return nil, errors.New("the link is closed")
 	}
-	result := &wire.OriginResult{}
+	result := &wire.OriginResult{Sole: string(reply.sole)}
 	if reply.found {
 		result = peer.OriginMessage(reply.origin)
 	}
@@ -58,7 +60,8 @@
 
 // TestOriginScripts guards against a stream that is continued at the version of an earlier send
 // of its request, against a wait for control VMs that do not answer although one knows the
-// origin, and against an origin that only a slow control VM knows and that is not waited for.
+// origin, against an origin that only a slow control VM knows and that is not waited for, and against a
+// version that is taken for the only one although a control VM knows of another, or too few know.
 func TestOriginScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/origins", func(t *testing.T, data *datadriven.TestData) string {
 		controls := make(askedControlVMs)
@@ -74,7 +77,7 @@
 			follower, stop := Follow(Options{VM: "e", Zone: "z", Seeds: seeds, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
 			defer stop()
 			started := time.Now()
-			found, ok := follower.FindOrigin(t.Context(), "r1", 400*time.Millisecond)
+			found, ok := follower.FindOrigin(t.Context(), "s", "r1", 400*time.Millisecond)
 			result = fmt.Sprintf("found=%t %s after %s\n", ok, found.Software, time.Since(started))
 		})
 		return result
@@ -89,6 +92,8 @@
 		switch name {
 		case "delay":
 			reply.delay = time.Duration(number) * time.Millisecond
+		case "sole":
+			reply.sole = core.SoftwareVersion(value)
 		case "failed":
 			reply.failed = true
 		case "software":
@@ -108,11 +113,11 @@
 		follower, stop := Follow(Options{VM: "e", Zone: "z", Seeds: []core.VMID{"c1"}, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
 		defer stop()
 		for range maxOriginQueries {
-			go follower.FindOrigin(t.Context(), "flood", time.Second)
+			go follower.FindOrigin(t.Context(), "s", "flood", time.Second)
 		}
 		synctest.Wait()
 		started := time.Now()
-		if _, ok := follower.FindOrigin(t.Context(), "another", time.Second); ok || time.Since(started) > 0 {
+		if _, ok := follower.FindOrigin(t.Context(), "s", "another", time.Second); ok || time.Since(started) > 0 {
 			t.Errorf("a question over the bound waited for %v", time.Since(started))
 		}
 		<-time.After(2 * time.Second)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,8 +58,10 @@
 // originFinder knows which software versions began the streams of other VMs.
 type originFinder interface {
 	// FindOrigin returns the origin of the stream whose first event the answer to a request
-	// brought. It returns false if that does not become known within the time wait.
-	FindOrigin(ctx context.Context, request core.RequestID, wait time.Duration) (origin.Origin, bool)
+	// brought. If that does not become known within the time wait, or the request is empty, the
+	// origin is the only software version that the service had lately. It returns false if there
+	// were several.
+	FindOrigin(ctx context.Context, service core.ServiceID, request core.RequestID, wait time.Duration) (origin.Origin, bool)
 }
 
 // Options holds the dependencies and limits of a Gateway.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
@@ -73,9 +72,6 @@
 // not known.
 func (call *call) findOrigin() (origin.Origin, bool) {
 	request := call.request.Origin
-	if request == "" {
-		return origin.Origin{}, false
-	}
 	if from, ok := call.gateway.begun.find(request); ok {
 		return from, true
 	}
@@ -88,9 +84,23 @@
 		limit = min(limit, call.request.Patience)
 	}
 	wait := min(originTimeout, limit/originWaitDivisor)
-	ctx, cancel := context.WithTimeout(call.incoming.Context(), wait)
-	defer cancel()
-	return finder.FindOrigin(ctx, request, wait)
+	return finder.FindOrigin(call.incoming.Context(), call.soleTarget(), request, wait)
+}
+
+// soleTarget returns the service of the route, and an empty one if it has several: the request
+// does not show which of them began the stream.
+func (call *call) soleTarget() core.ServiceID {
+	var sole core.ServiceID
+	for _, target := range call.route.Targets {
+		if target.Weight <= 0 {
+			continue
+		}
+		if sole != "" {
+			return ""
+		}
+		sole = target.Service
+	}
+	return sole
 }
 
 // origin returns the software that the upstream of the next send must have.
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -139,7 +139,7 @@
 	origin  origin.Origin
 }
 
-func (known knownOrigins) FindOrigin(_ context.Context, request core.RequestID, _ time.Duration) (origin.Origin, bool) {
+func (known knownOrigins) FindOrigin(_ context.Context, _ core.ServiceID, request core.RequestID, _ time.Duration) (origin.Origin, bool) {
 	return known.origin, known.request == request
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -87,7 +87,7 @@
 	defer closeJobs()
 	node := control.New(control.Options{
 		VM: settings.VM, Zone: settings.Zone, OperatorAddress: settings.OperatorAddress, Zones: settings.Zones,
-		EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
+		FirstStart: settings.FirstStart, EnginesCheckTokens: settings.EnginesCheckTokens, AnnounceInterval: settings.AnnounceInterval,
 		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, replicaCaller), Calls: peerClient, Engines: engines, Jobs: jobs, Records: records, RecordFolder: recordFolder(settings), Logger: logger,
 	}, peers)
 	peers.AddSeeds(settings.Seeds)
--- a/pkg/policy/origin/script_test.go
+++ b/pkg/policy/origin/script_test.go
@@ -12,16 +12,21 @@
 )
 
 // TestScripts guards against a stream that goes on at another software version than the one
-// that began it, against an origin that an earlier send of its request replaces, and against a
-// table that grows without a bound.
+// that began it, against an origin that an earlier send of its request replaces, against a
+// table that grows without a bound, and against a version that is taken for the only one although
+// another one served a moment ago.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		table := &Table{}
+		table, history := &Table{}, &History{}
 		datadriven.RunTest(t, path, func(_ *testing.T, data *datadriven.TestData) string {
-			if data.Cmd == "allows" {
+			switch data.Cmd {
+			case "allows":
 				return runRule(data)
+			case "note", "sole", "start", "agreed":
+				return runHistory(history, data)
+			default:
+				return runTable(table, data)
 			}
-			return runTable(table, data)
 		})
 	})
 }
@@ -61,6 +66,31 @@
 	return result + "\n"
 }
 
+// runHistory applies a command to a History. Times are in milliseconds.
+func runHistory(history *History, data *datadriven.TestData) string {
+	now := time.Duration(intArg(data, "at")) * time.Millisecond
+	service := core.ServiceID(textArg(data, "service"))
+	switch data.Cmd {
+	case "note":
+		history.Note(now, service, core.SoftwareVersion(textArg(data, "software")))
+	case "start":
+		history.Start(now)
+	case "sole":
+		return fmt.Sprintf("%q\n", history.Sole(now, service))
+	case "agreed":
+		var stated []core.SoftwareVersion
+		for _, arg := range data.CmdArgs {
+			for _, value := range arg.Vals {
+				if arg.Key == "stated" {
+					stated = append(stated, core.SoftwareVersion(value))
+				}
+			}
+		}
+		return fmt.Sprintf("%q\n", Agreed(stated, intArg(data, "asked")))
+	}
+	return "ok\n"
+}
+
 // textArg returns the first value of an argument, or "" if it is missing or has none.
 func textArg(data *datadriven.TestData, name string) string {
 	for _, arg := range data.CmdArgs {
