--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -90,7 +90,7 @@
 
 // ServeHTTP runs a request.
 func (worker *worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	const work = 5 * time.Millisecond
+	const runTime = 5 * time.Millisecond
 	if target := request.Header.Get("X-Dandelionring-Target-Instance"); target != "" && target != worker.id {
 		writer.Header().Set("X-Dandelionring-Not-Executed", "1")
 		writer.WriteHeader(http.StatusMisdirectedRequest)
@@ -100,7 +100,7 @@
 	worker.arrivals = append(worker.arrivals, time.Now())
 	worker.lock.Unlock()
 	_, _ = io.Copy(io.Discard, request.Body)
-	time.Sleep(work)
+	time.Sleep(runTime)
 	writer.Header().Set("X-Dandelionring-Request-Id", request.Header.Get("X-Dandelionring-Request-Id"))
 	writer.Header().Set("X-Dandelionring-Response-Signature", "signed-by-"+worker.id)
 	_, _ = writer.Write([]byte("done by " + worker.id))
@@ -230,7 +230,7 @@
 	go func() {
 		for sent := 1; ; sent++ {
 			go func() {
-				status := fleet.request(entry, sent, patience)
+				status := fleet.request(entry, sent, patience, "")
 				lock.Lock()
 				defer lock.Unlock()
 				statuses[status]++
@@ -275,8 +275,9 @@
 	return nil
 }
 
-// request sends one request of a client and returns the status of its answer, or 0.
-func (fleet *fleet) request(entry *machine, number int, wait time.Duration) int {
+// request sends one request of a client, for a model unless that is empty, and returns the
+// status of its answer, or 0.
+func (fleet *fleet) request(entry *machine, number int, wait time.Duration, model string) int {
 	client := http.Client{Timeout: wait, Transport: &http.Transport{DisableKeepAlives: true}}
 	request, err := http.NewRequest(http.MethodGet, "http://"+fleet.address(entry.ip, "front")+"/p0000000/x", nil)
 	if err != nil {
@@ -285,6 +286,9 @@
 	request.Host = "ficu95.example"
 	request.Header.Set("X-Dandelionring-Request-Id", fmt.Sprintf("%016x", number))
 	request.Header.Set("X-Dandelionring-Deadline-Ms", "1500")
+	if model != "" {
+		request.Header.Set("X-Dandelionring-Model", model)
+	}
 	response, err := client.Do(request)
 	if err != nil {
 		return 0
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,7 +24,7 @@
 var errBroken = errors.New("the rule was broken")
 
 func main() {
-	cases := map[string]func(*fleet, bool) error{"replaced": replaced, "growth": growth, "leaving": leaving, "memory": memory}
+	cases := map[string]func(*fleet, bool) error{"replaced": replaced, "growth": growth, "leaving": leaving, "memory": memory, "copies": copies}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD")
 		os.Exit(codeNotRun)
