--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -120,3 +120,22 @@
 	}
 	return controls, nil
 }
+
+// readWithin asks the machines in turn for the configuration until one answers with the wanted
+// version or a newer one, for at most the given time. It returns the newest version read.
+func (fleet *fleet) readWithin(machines []*machine, span time.Duration, wanted int) int {
+	const pause = 100 * time.Millisecond
+	newest := 0
+	begun := time.Now()
+	for tries := 0; time.Since(begun) < span && newest < wanted; tries++ {
+		from := machines[tries%len(machines)]
+		status, body := call(http.MethodGet, "http://"+fleet.address(from.ip, "control")+"/v1/config", nil, time.Second)
+		var document struct{ Version int }
+		if status == http.StatusOK && json.Unmarshal(body, &document) == nil {
+			newest = max(newest, document.Version)
+		}
+		time.Sleep(pause)
+	}
+	fleet.note("read back: newest version %d after %d ms", newest, time.Since(begun).Milliseconds())
+	return newest
+}
