--- a/standin/rig/record.go
+++ b/standin/rig/record.go
@@ -39,6 +39,11 @@
 	Restored Event = "restored"
 )
 
+// Slowed is the first word of the Detail of a disruption that slows a process or its links
+// and does not stop or cut them. A control VM that is slowed destabilises the core as long as
+// that lasts.
+const Slowed = "slowed"
+
 // Record is one line of a file of records. Fields that an event does not need are empty.
 type Record struct {
 	// At is the time in Unix microseconds.
@@ -66,6 +71,8 @@
 	LastEvent int `json:",omitempty"`
 	// Number is the number of a received event, from 1. Writer and Version are the run and
 	// the software version that its data names, and Of is the number of events of the stream.
+	// At the end of a whole answer Number is the number of bytes of its body, and Of the
+	// number that the upstream has stated in it.
 	Number  int                  `json:",omitempty"`
 	Writer  string               `json:",omitempty"`
 	Version core.SoftwareVersion `json:",omitempty"`
@@ -78,7 +85,12 @@
 	Complete bool `json:",omitempty"`
 	// Crashing is set if the content of the request ends each upstream that runs it.
 	Crashing bool `json:",omitempty"`
-	// Detail names the fault of an answer that cannot be read, or the disruption.
+	// Content is the same in all requests with the same crashing content; empty means that
+	// only the attempts of one Task have it. Part names the crashing part of the prompt.
+	Content string `json:",omitempty"`
+	Part    string `json:",omitempty"`
+	// Detail names the fault of an answer that cannot be read, or the disruption. The first
+	// word of a disruption that slows a process is Slowed.
 	Detail string `json:",omitempty"`
 }
 
