--- a/pkg/policy/retry/script_test.go
+++ b/pkg/policy/retry/script_test.go
@@ -15,7 +15,7 @@
 // TestScripts guards against a second run of a request that is not repeatable, and
 // against retries beyond this VM's share of the budget.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		budget := &Budget{}
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			now := time.Duration(number(data, "at") * float64(time.Second))
