Repeat requests only on account of those that the VM has counted

Callers saw nothing; the upstreams of a service got more repeats than the budget of all VMs. Cause: each VM took 1/n of the repeats that the operators allow beside the ratio. n was 1 until a control VM had sent a count, the count of a zone for a VM that started again in a cut, and too low for VMs that did not learn of added ones; a process that started again took its share again. Change: a VM uses no share of them. Budget.Allow needs no count of VMs, and the limit is not read any more. Why it works: what a VM may repeat depends on nothing but the requests that reached this process, and each request reaches one process. Repeats whose arrival or whose request is delayed are what the unused rest is left for.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,13 +214,12 @@
 	gateway.budget(service).AddRequest(clock.Now())
 }
 
-// allowRetry takes one retry from this VM's share of the retry budget of a service. It
-// returns false if the share is used up.
+// allowRetry takes one retry from the retry budget of a service. It returns false if the
+// budget is used up.
 func (gateway *Gateway) allowRetry(service core.ServiceID) bool {
-	vms := gateway.options.Table.EntryVMs()
 	gateway.lock.Lock()
 	defer gateway.lock.Unlock()
-	return gateway.budget(service).Allow(clock.Now(), vms)
+	return gateway.budget(service).Allow(clock.Now())
 }
 
 // fingerprint returns the hash of the request's content. The headers are not part of it:
--- a/pkg/policy/retry/budget.go
+++ b/pkg/policy/retry/budget.go
@@ -5,13 +5,11 @@
 // bucketCount is the number of buckets into which the window of a budget is divided.
 const bucketCount = 10
 
-// Limits limit the retries to one service within a sliding window.
+// Limits limit the retries to one service within a sliding window. The retries that the
+// operators allow beside the ratio are not used: a VM cannot know its share of them.
 type Limits struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
-	// Extra is the number of retries allowed per window in addition to those allowed by
-	// Ratio, for all entry VMs together.
-	Extra float64
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
@@ -50,16 +48,15 @@
 }
 
 // Allow counts one retry and returns true. It returns false, and counts nothing, if the
-// retry would exceed the share of this VM among the given number of entry VMs.
-func (budget *Budget) Allow(now time.Duration, vms int) bool {
+// requests that this VM has counted do not allow it.
+func (budget *Budget) Allow(now time.Duration) bool {
 	budget.advance(now)
 	requests, retries := 0, 0
 	for i := range bucketCount {
 		requests += budget.requests[i]
 		retries += budget.retries[i]
 	}
-	allowed := safetyFactor * (budget.limits.Ratio*float64(requests) + budget.limits.Extra/float64(max(1, vms)))
-	if float64(retries+1) > allowed {
+	if float64(retries+1) > safetyFactor*budget.limits.Ratio*float64(requests) {
 		return false
 	}
 	budget.retries[budget.current%bucketCount]++
