--- a/pkg/policy/retry/orders_test.go
+++ b/pkg/policy/retry/orders_test.go
@@ -26,6 +26,10 @@
 // VMs to others, and both repeat for the requests of their own last window.
 func TestRepeatsAfterMove(t *testing.T) { runOrders(t, "move") }
 
+// TestRepeatsOnTheWay guards against requests that callers sent before the window of the
+// operators, because they were read late, and against repeats that arrive after it.
+func TestRepeatsOnTheWay(t *testing.T) { runOrders(t, "way") }
+
 // runOrders plays the file of the given name in testdata/orders.
 func runOrders(t *testing.T, name string) {
 	var vms *fleet
@@ -50,6 +54,10 @@
 				vms.repeat(arg.Key, value)
 			case "wait":
 				vms.now += time.Duration(value) * time.Millisecond
+			case "late":
+				vms.late = time.Duration(value) * time.Millisecond
+			case "slow":
+				vms.slow = time.Duration(value) * time.Millisecond
 			default:
 				t.Fatalf("unknown command %q", data.Cmd)
 			}
@@ -78,11 +86,15 @@
 			case "stop":
 				vms.stop(vm)
 			case "requests":
+				vms.late = time.Duration(rapid.IntRange(0, 600).Draw(t, "late")) * time.Millisecond
 				vms.request(vm, rapid.IntRange(1, 300).Draw(t, "requests"))
 			case "repeats":
+				vms.slow = time.Duration(rapid.IntRange(0, 400).Draw(t, "slow")) * time.Millisecond
 				vms.repeat(vm, rapid.IntRange(1, 300).Draw(t, "repeats"))
 			case "wait":
-				vms.now += time.Duration(rapid.IntRange(1, 12000).Draw(t, "millis")) * time.Millisecond
+				// Most faults show just before or after a window.
+				millis := rapid.OneOf(rapid.IntRange(1, 1000), rapid.IntRange(8000, 11000)).Draw(t, "millis")
+				vms.now += time.Duration(millis) * time.Millisecond
 			}
 		}
 		if verdict := vms.judge(); verdict != "kept" {
@@ -101,8 +113,12 @@
 type fleet struct {
 	limits Limits
 	// extra is the number of repeats in a window that the operators allow beside the ratio.
-	extra   float64
-	now     time.Duration
+	extra float64
+	now   time.Duration
+	// late is the time from the send of a request by its caller until a VM has read it, and
+	// slow the time from the decision to repeat until the repeat arrives.
+	late, slow time.Duration
+
 	budgets map[string]*Budget
 	events  []event
 }
@@ -121,7 +137,7 @@
 
 // request makes callers send requests, which reach the VM if it runs.
 func (fleet *fleet) request(vm string, count int) {
-	fleet.events = append(fleet.events, event{at: fleet.now, requests: count})
+	fleet.events = append(fleet.events, event{at: fleet.now - fleet.late, requests: count})
 	for range count {
 		if budget := fleet.budgets[vm]; budget != nil {
 			budget.AddRequest(fleet.now)
@@ -135,7 +151,7 @@
 	for budget := fleet.budgets[vm]; budget != nil && sent < count && budget.Allow(fleet.now); {
 		sent++
 	}
-	fleet.events = append(fleet.events, event{at: fleet.now, repeats: sent})
+	fleet.events = append(fleet.events, event{at: fleet.now + fleet.slow, repeats: sent})
 }
 
 // judge returns "kept" if the repeats in each window are within the limits for the requests
