Let VMs with few requests repeat, within a share that cannot add up to too much

A VM that had read fewer than 10 requests for a service in 8.5 s repeated none of them, so that callers of a service that is little used got the failure of the first upstream. Change: a VM without credit has the share Extra / (zones x VMs that it knows) in 11 s, from 11 s after its start, and not rounded up. The model knows the number of VMs that each VM knows again, and judges with the same limits. Why it works: VMs of one zone know each other, so the shares add up to at most Extra even if no zone knows of another one, and a window and its margin pass before a process takes the share that the one before it may have used.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -97,6 +97,8 @@
 	// routeTableWaiters counts the requests that wait for the first route table.
 	routeTableWaiters atomic.Int32
 
+	// started is the time at which the gateway was created.
+	started time.Duration
 	// lock has position 2 in the lock order. It guards budgets.
 	lock    sync.Mutex
 	budgets map[core.ServiceID]*retry.Budget
@@ -105,7 +107,7 @@
 // New returns a gateway and a function that stops its workers and closes its idle
 // connections.
 func New(options Options) (*Gateway, func()) {
-	gateway := &Gateway{options: options, budgets: make(map[core.ServiceID]*retry.Budget)}
+	gateway := &Gateway{options: options, started: clock.Now(), budgets: make(map[core.ServiceID]*retry.Budget)}
 	gateway.stopping.ended, gateway.stopping.end = context.WithCancel(context.Background())
 	closeCopies := gateway.copies.start(options.Placer)
 	closeLosses := gateway.losses.start(gateway)
@@ -200,7 +202,7 @@
 func (gateway *Gateway) budget(service core.ServiceID) *retry.Budget {
 	budget := gateway.budgets[service]
 	if budget == nil {
-		budget = &retry.Budget{}
+		budget = &retry.Budget{Started: gateway.started}
 		budget.SetLimits(gateway.options.Repeats)
 		gateway.budgets[service] = budget
 	}
@@ -217,9 +219,10 @@
 // allowRetry takes one retry from the retry budget of a service. It returns false if the
 // budget is used up.
 func (gateway *Gateway) allowRetry(service core.ServiceID) bool {
+	vms := gateway.options.Table.EntryVMs()
 	gateway.lock.Lock()
 	defer gateway.lock.Unlock()
-	return gateway.budget(service).Allow(clock.Now())
+	return gateway.budget(service).Allow(clock.Now(), vms)
 }
 
 // fingerprint returns the hash of the request's content. The headers are not part of it:
--- a/pkg/policy/retry/budget.go
+++ b/pkg/policy/retry/budget.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// bucketsPerWindow is the number of buckets into which the window of a budget is divided.
@@ -19,11 +22,16 @@
 	roundingMargin = 1e-6
 )
 
-// Limits limit the retries to one service within a sliding window. The retries that the
-// operators allow beside the ratio are not used: a VM cannot know its share of them.
+// Limits limit the retries to one service within a sliding window.
 type Limits struct {
 	// Ratio is the number of retries allowed per request.
 	Ratio float64
+	// Extra is the number of retries allowed per window in addition to those allowed by
+	// Ratio, for all entry VMs together.
+	Extra float64
+	// Zones is the number of availability zones. VMs of zones that were cut off from each
+	// other may not know each other, but those of one zone do.
+	Zones int
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
@@ -31,20 +39,28 @@
 // Budget allows retries of one service on this VM. Each request is a credit for half of the
 // ratio, which can be used once and within one window. So the retries of all VMs in any window
 // are at most the ratio of the requests in it or in the one before, whatever VMs there are,
-// and whenever they start and stop. The zero value has zero Limits and allows no retries.
+// and whenever they start and stop. Without credit, a VM has its share of Extra, so that one
+// with few requests can retry too. The zero value has zero Limits and allows no retries.
 // Times are readings of a monotonic clock that continues while the machine is suspended. A
 // Budget is not safe for concurrent use.
 type Budget struct {
+	// Started is the time at which the process started.
+	Started time.Duration
+
 	limits Limits
 	// current is the number of the newest bucket, counted from time 0.
 	current int64
 	// credits holds the retries that the requests of each bucket still allow.
 	credits [bucketCount]float64
+	// extras holds the times of the retries within the last window that used the share of Extra.
+	extras []time.Duration
 }
 
 // SetLimits replaces the limits. The credits of earlier requests end, since their times within
 // another window are not known.
-func (budget *Budget) SetLimits(limits Limits) { *budget = Budget{limits: limits} }
+func (budget *Budget) SetLimits(limits Limits) {
+	*budget = Budget{Started: budget.Started, limits: limits, extras: budget.extras}
+}
 
 // AddRequest counts one request of a caller.
 func (budget *Budget) AddRequest(now time.Duration) {
@@ -52,16 +68,18 @@
 	budget.credits[budget.current%bucketCount] += creditShare * budget.limits.Ratio
 }
 
-// Allow takes the credit for one retry, from the oldest requests, and returns true. It returns
-// false, and takes nothing, if the requests that this VM has counted do not allow it.
-func (budget *Budget) Allow(now time.Duration) bool {
+// Allow takes the credit for one retry, from the oldest requests, and returns true. Without
+// credit, it takes the retry from the share of Extra. It returns false, and takes nothing, if
+// neither the requests that this VM has counted nor the share allow it. vms is the number of
+// entry VMs that this VM knows, itself included.
+func (budget *Budget) Allow(now time.Duration, vms int) bool {
 	budget.advance(now)
 	credit := 0.0
 	for _, left := range budget.credits {
 		credit += left
 	}
 	if credit < 1-roundingMargin {
-		return false
+		return budget.allowExtra(now, vms)
 	}
 	needed := 1.0
 	for age := bucketCount - 1; age >= 0; age-- {
@@ -73,6 +91,25 @@
 	return true
 }
 
+// allowExtra takes one retry from the share of Extra, if it is not used up. The VMs that know
+// each other have the part of one zone together, so that the sum holds even if no zone knows of
+// another one. The share is not rounded up: with many VMs nobody has one.
+func (budget *Budget) allowExtra(now time.Duration, vms int) bool {
+	// A retry that was allowed before may arrive up to the margin later.
+	window := budget.limits.Window * (bucketsPerWindow + marginBuckets) / bucketsPerWindow
+	// The process that ran here before may have used the share of the same window.
+	if now < budget.Started+window {
+		return false
+	}
+	budget.extras = slices.DeleteFunc(budget.extras, func(at time.Duration) bool { return at <= now-window })
+	share := budget.limits.Extra / float64(max(1, budget.limits.Zones)*max(1, vms))
+	if float64(len(budget.extras)+1) > share {
+		return false
+	}
+	budget.extras = append(budget.extras, now)
+	return true
+}
+
 // advance moves to the bucket of the given time and ends the credits that are too old.
 func (budget *Budget) advance(now time.Duration) {
 	if budget.limits.Window <= 0 {
--- a/pkg/policy/retry/orders_test.go
+++ b/pkg/policy/retry/orders_test.go
@@ -30,12 +30,18 @@
 // operators, because they were read late, and against repeats that arrive after it.
 func TestRepeatsOnTheWay(t *testing.T) { runOrders(t, "way") }
 
+// TestFewRequestsRepeat guards against VMs with few requests that never repeat one, and against
+// shares of the repeats beside the ratio that are too large together: of VMs that know too few
+// of the others, or that have just started.
+func TestFewRequestsRepeat(t *testing.T) { runOrders(t, "few") }
+
 // runOrders plays the file of the given name in testdata/orders.
 func runOrders(t *testing.T, name string) {
 	var vms *fleet
 	datadriven.RunTest(t, "testdata/orders/"+name, func(t *testing.T, data *datadriven.TestData) string {
 		if data.Cmd == "limits" {
-			vms = newFleet(Limits{Ratio: number(data, "ratio"), Window: 10 * time.Second}, number(data, "extra"))
+			zones := max(1, int(number(data, "zones")))
+			vms = newFleet(Limits{Ratio: number(data, "ratio"), Extra: number(data, "extra"), Zones: zones, Window: 10 * time.Second})
 			return ""
 		}
 		for _, arg := range data.CmdArgs {
@@ -45,7 +51,7 @@
 			}
 			switch data.Cmd {
 			case "start":
-				vms.start(arg.Key)
+				vms.start(arg.Key, value)
 			case "stop":
 				vms.stop(arg.Key)
 			case "requests":
@@ -62,8 +68,11 @@
 				t.Fatalf("unknown command %q", data.Cmd)
 			}
 		}
-		if data.Cmd == "judge" {
+		switch data.Cmd {
+		case "judge":
 			return vms.judge() + "\n"
+		case "sum":
+			return fmt.Sprintf("%d repeats\n", vms.repeats())
 		}
 		return ""
 	})
@@ -73,16 +82,28 @@
 // bursts in which all VMs together repeat more than the budget.
 func TestRepeatsInAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		vms := newFleet(Limits{Ratio: 0.2, Window: 10 * time.Second}, rapid.SampledFrom([]float64{0, 5, 54}).Draw(t, "extra"))
+		zones := rapid.IntRange(1, 4).Draw(t, "zones")
+		vms := newFleet(Limits{Ratio: 0.2, Extra: rapid.SampledFrom([]float64{0, 5, 54}).Draw(t, "extra"), Zones: zones, Window: 10 * time.Second})
 		total := rapid.IntRange(1, 8).Draw(t, "vms")
+		// drawKnown returns how many VMs a VM knows: all of its zone, and some of the others.
+		drawKnown := func(vm int) int {
+			own := 0
+			for other := range total {
+				if other%zones == vm%zones {
+					own++
+				}
+			}
+			return rapid.IntRange(own, total).Draw(t, "known")
+		}
 		for vm := range total {
-			vms.start(strconv.Itoa(vm + 1))
+			vms.start(strconv.Itoa(vm), drawKnown(vm))
 		}
 		for range rapid.IntRange(20, 80).Draw(t, "steps") {
-			vm := strconv.Itoa(rapid.IntRange(1, total).Draw(t, "vm"))
+			number := rapid.IntRange(0, total-1).Draw(t, "vm")
+			vm := strconv.Itoa(number)
 			switch rapid.SampledFrom([]string{"start", "stop", "requests", "requests", "repeats", "repeats", "wait", "wait"}).Draw(t, "step") {
 			case "start":
-				vms.start(vm)
+				vms.start(vm, drawKnown(number))
 			case "stop":
 				vms.stop(vm)
 			case "requests":
@@ -109,28 +130,29 @@
 	requests, repeats int
 }
 
-// fleet is a model of all entry VMs for one service. It holds the running VMs.
+// fleet is a model of all entry VMs for one service. It holds the running VMs with the number of
+// VMs that each knows.
 type fleet struct {
 	limits Limits
-	// extra is the number of repeats in a window that the operators allow beside the ratio.
-	extra float64
-	now   time.Duration
+	now    time.Duration
 	// late is the time from the send of a request by its caller until a VM has read it, and
 	// slow the time from the decision to repeat until the repeat arrives.
 	late, slow time.Duration
 
 	budgets map[string]*Budget
+	known   map[string]int
 	events  []event
 }
 
-func newFleet(limits Limits, extra float64) *fleet {
-	return &fleet{limits: limits, extra: extra, now: time.Hour, budgets: make(map[string]*Budget)}
+func newFleet(limits Limits) *fleet {
+	return &fleet{limits: limits, now: time.Hour, budgets: make(map[string]*Budget), known: make(map[string]int)}
 }
 
-// start starts a VM, or starts it again with an empty memory.
-func (fleet *fleet) start(vm string) {
-	fleet.budgets[vm] = &Budget{}
+// start starts a VM that knows a number of VMs, or starts it again with an empty memory.
+func (fleet *fleet) start(vm string, known int) {
+	fleet.budgets[vm] = &Budget{Started: fleet.now}
 	fleet.budgets[vm].SetLimits(fleet.limits)
+	fleet.known[vm] = known
 }
 
 func (fleet *fleet) stop(vm string) { delete(fleet.budgets, vm) }
@@ -148,12 +170,21 @@
 // repeat makes a VM send as many repeats as it may, up to count.
 func (fleet *fleet) repeat(vm string, count int) {
 	sent := 0
-	for budget := fleet.budgets[vm]; budget != nil && sent < count && budget.Allow(fleet.now); {
+	for budget := fleet.budgets[vm]; budget != nil && sent < count && budget.Allow(fleet.now, fleet.known[vm]); {
 		sent++
 	}
 	fleet.events = append(fleet.events, event{at: fleet.now + fleet.slow, repeats: sent})
 }
 
+// repeats returns the number of all repeats.
+func (fleet *fleet) repeats() int {
+	sum := 0
+	for _, event := range fleet.events {
+		sum += event.repeats
+	}
+	return sum
+}
+
 // judge returns "kept" if the repeats in each window are within the limits for the requests
 // in it, in the one before it or in the one half a window before it, whichever has most.
 // Otherwise it describes the window that is over the limits by most.
@@ -170,7 +201,7 @@
 					found, _ := fleet.count(from - before)
 					requests = max(requests, found)
 				}
-				allowed := fleet.limits.Ratio*float64(requests) + fleet.extra
+				allowed := fleet.limits.Ratio*float64(requests) + fleet.limits.Extra
 				if over := float64(repeats) - allowed; over > worst+1e-6 {
 					worst, verdict = over, fmt.Sprintf("broken by %.1f: %d repeats, %d requests", over, repeats, requests)
 				}
--- a/pkg/policy/retry/script_test.go
+++ b/pkg/policy/retry/script_test.go
@@ -27,7 +27,7 @@
 				if seconds := number(data, "window"); seconds > 0 {
 					window = time.Duration(seconds * float64(time.Second))
 				}
-				budget.SetLimits(Limits{Ratio: number(data, "ratio"), Window: window})
+				budget.SetLimits(Limits{Ratio: number(data, "ratio"), Extra: number(data, "extra"), Zones: int(number(data, "zones")), Window: window})
 				return "ok\n"
 			case "requests":
 				for range int(number(data, "count")) {
@@ -37,7 +37,7 @@
 			case "retries":
 				allowed := 0
 				for range int(number(data, "count")) {
-					if budget.Allow(now) {
+					if budget.Allow(now, int(number(data, "vms"))) {
 						allowed++
 					}
 				}
