--- a/pkg/policy/retry/budget.go
+++ b/pkg/policy/retry/budget.go
@@ -1,9 +1,26 @@
 package retry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// bucketCount is the number of buckets into which the window of a budget is divided.
-const bucketCount = 10
+const (
+	// bucketsPerWindow is the number of buckets into which the window of a budget is divided.
+	bucketsPerWindow = 20
+	// marginBuckets is the number of buckets by which the credit of a request ends before its
+	// window has passed: callers have sent a request some time before it is counted, and a
+	// retry arrives some time after it was allowed, together at most 1 s of a window of 10 s.
+	marginBuckets = 2
+	// bucketCount is the number of buckets whose requests allow retries.
+	bucketCount = bucketsPerWindow - marginBuckets
+	// creditShare is the part of the ratio that each request allows in retries. The retries in
+	// a window are allowed by requests of that window and of the one before, on whichever VMs
+	// these were. The operators count the requests of one of the two.
+	creditShare = 0.5
+	// roundingMargin makes ten tenths of a retry one.
+	roundingMargin = 1e-6
+)
 
 // Limits limit the retries to one service within a sliding window.
 type Limits struct {
@@ -12,88 +29,98 @@
 	// Extra is the number of retries allowed per window in addition to those allowed by
 	// Ratio, for all entry VMs together.
 	Extra float64
+	// Zones is the number of availability zones. VMs of zones that were cut off from each
+	// other may not know each other, but those of one zone do.
+	Zones int
 	// Window is the length of the sliding window.
 	Window time.Duration
 }
 
-// safetyFactor keeps this VM below its share of the budget, because the limits are
-// verified in windows that may not coincide with those of this VM.
-const safetyFactor = 0.8
-
-// Budget counts the requests and retries of one service on this VM. The zero value has
-// zero Limits and allows no retries. Times are readings of a monotonic clock that
-// continues while the machine is suspended. A Budget is not safe for concurrent use.
+// Budget allows retries of one service on this VM. Each request is a credit for half of the
+// ratio, which can be used once and within one window. So the retries of all VMs in any window
+// are at most the ratio of the requests in it or in the one before, whatever VMs there are,
+// and whenever they start and stop. Without credit, a VM has its share of Extra, so that one
+// with few requests can retry too. The zero value has zero Limits and allows no retries.
+// Times are readings of a monotonic clock that continues while the machine is suspended. A
+// Budget is not safe for concurrent use.
 type Budget struct {
+	// Started is the time at which the process started.
+	Started time.Duration
+
 	limits Limits
 	// current is the number of the newest bucket, counted from time 0.
-	current  int64
-	requests [bucketCount]int
-	retries  [bucketCount]int
-	// windowChanged is set until the counts have been moved to buckets of the new length.
-	windowChanged bool
+	current int64
+	// credits holds the retries that the requests of each bucket still allow.
+	credits [bucketCount]float64
+	// extras holds the times of the retries within the last window that used the share of Extra.
+	extras []time.Duration
 }
 
-// SetLimits replaces the limits. After a change of the window the retries that were counted
-// count for the whole new window, since their times within the old one are not known, and
-// the requests for one bucket.
+// SetLimits replaces the limits. The credits of earlier requests end, since their times within
+// another window are not known.
 func (budget *Budget) SetLimits(limits Limits) {
-	if budget.limits.Window > 0 && budget.limits.Window != limits.Window {
-		budget.windowChanged = true
-	}
-	budget.limits = limits
+	*budget = Budget{Started: budget.Started, limits: limits, extras: budget.extras}
 }
 
 // AddRequest counts one request of a caller.
 func (budget *Budget) AddRequest(now time.Duration) {
 	budget.advance(now)
-	budget.requests[budget.current%bucketCount]++
+	budget.credits[budget.current%bucketCount] += creditShare * budget.limits.Ratio
 }
 
-// Allow counts one retry and returns true. It returns false, and counts nothing, if the
-// retry would exceed the share of this VM among the given number of entry VMs.
+// Allow takes the credit for one retry, from the oldest requests, and returns true. Without
+// credit, it takes the retry from the share of Extra. It returns false, and takes nothing, if
+// neither the requests that this VM has counted nor the share allow it. vms is the number of
+// entry VMs that this VM knows, itself included.
 func (budget *Budget) Allow(now time.Duration, vms int) bool {
 	budget.advance(now)
-	requests, retries := 0, 0
-	for i := range bucketCount {
-		requests += budget.requests[i]
-		retries += budget.retries[i]
+	credit := 0.0
+	for _, left := range budget.credits {
+		credit += left
 	}
-	allowed := safetyFactor * (budget.limits.Ratio*float64(requests) + budget.limits.Extra/float64(max(1, vms)))
-	if float64(retries+1) > allowed {
-		return false
+	if credit < 1-roundingMargin {
+		return budget.allowExtra(now, vms)
+	}
+	needed := 1.0
+	for age := bucketCount - 1; age >= 0; age-- {
+		bucket := &budget.credits[(budget.current+bucketCount-int64(age))%bucketCount]
+		taken := min(*bucket, needed)
+		*bucket -= taken
+		needed -= taken
 	}
-	budget.retries[budget.current%bucketCount]++
 	return true
 }
 
-// moveCounts makes bucket the newest bucket. It moves the retries to it and the requests to
-// the oldest bucket of the window.
-func (budget *Budget) moveCounts(bucket int64) {
-	requests, retries := 0, 0
-	for i := range bucketCount {
-		requests += budget.requests[i]
-		retries += budget.retries[i]
+// allowExtra takes one retry from the share of Extra, if it is not used up. The VMs that know
+// each other have the part of one zone together, so that the sum holds even if no zone knows of
+// another one. The share is not rounded up: with many VMs nobody has one.
+func (budget *Budget) allowExtra(now time.Duration, vms int) bool {
+	// A retry that was allowed before may arrive up to the margin later.
+	window := budget.limits.Window * (bucketsPerWindow + marginBuckets) / bucketsPerWindow
+	// The process that ran here before may have used the share of the same window.
+	if now < budget.Started+window {
+		return false
+	}
+	budget.extras = slices.DeleteFunc(budget.extras, func(at time.Duration) bool { return at <= now-window })
+	share := budget.limits.Extra / float64(max(1, budget.limits.Zones)*max(1, vms))
+	if float64(len(budget.extras)+1) > share {
+		return false
 	}
-	*budget = Budget{limits: budget.limits, current: bucket}
-	budget.requests[(bucket+1)%bucketCount] = requests
-	budget.retries[bucket%bucketCount] = retries
+	budget.extras = append(budget.extras, now)
+	return true
 }
 
-// advance moves the window to the given time and clears the buckets that enter it.
+// advance moves to the bucket of the given time and ends the credits that are too old.
 func (budget *Budget) advance(now time.Duration) {
 	if budget.limits.Window <= 0 {
 		return
 	}
-	bucket := int64(now / (budget.limits.Window / bucketCount))
-	if budget.windowChanged {
-		budget.moveCounts(bucket)
-	}
-	for ; budget.current < bucket && bucket-budget.current <= bucketCount; budget.current++ {
-		budget.requests[(budget.current+1)%bucketCount] = 0
-		budget.retries[(budget.current+1)%bucketCount] = 0
+	bucket := int64(now / (budget.limits.Window / bucketsPerWindow))
+	if bucket-budget.current >= bucketCount {
+		budget.credits, budget.current = [bucketCount]float64{}, bucket
 	}
-	if budget.current < bucket {
-		budget.requests, budget.retries = [bucketCount]int{}, [bucketCount]int{}
-		budget.current = bucket
+	for budget.current < bucket {
+		budget.current++
+		budget.credits[budget.current%bucketCount] = 0
 	}
 }
