Split streams at every line end of server-sent events

What callers saw: a stream whose events end with CR LF or CR reached them in no part until the end of the answer, as no event end was found; it then ended as broken, or with 502. Beside mixed line ends a part of the events was found. An event at the begin of a stream with a byte order mark, or with an ID whose name follows a CR, had no ID, so its stream could not be continued. Cause: the gateway searched for LF LF, and for IDs behind a LF. The class of the fault: a format with several spellings, of which one is read. Why it works: the state of the splitter is the line and how the one before ended; it does not depend on how the stream is divided into reads.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -31,21 +31,21 @@
 		splitter := eventSplitter{memory: reservation}
 		var err error
 		for sent := 0; err == nil && sent+step <= maxEventBytes; sent += step {
-			_, err = splitter.split(chunk)
+			_, _, err = splitter.split(chunk)
 		}
 		if errors.Is(err, h1.ErrMemory) {
 			broken++
 			continue // the stream ends and its buffer is freed
 		}
 		is.NoErr(err)
-		held += max(0, cap(splitter.pending)-smallBuffer)
+		held += max(0, splitter.Capacity()-smallBuffer)
 	}
 	is.True(broken > 0)
 	is.True(held <= int(h1.DefaultMemory))
 	reservation, release := memory.Reserve()
 	defer release()
 	splitter := eventSplitter{memory: reservation}
-	whole, err := splitter.split([]byte(usual))
+	whole, _, err := splitter.split([]byte(usual))
 	is.NoErr(err)
 	is.Equal(string(whole), usual)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,9 +5,11 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
+	"github.com/dandelionring/dandelionring/internal/sse"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -33,13 +35,13 @@
 	chunk := make([]byte, readSize)
 	for {
 		count, err := response.Body.Read(chunk)
-		whole, overBound := splitter.split(chunk[:count])
+		whole, events, overBound := splitter.split(chunk[:count])
 		if len(whole) > 0 {
-			if !attempt.forwardEvents(response, whole) {
+			if !attempt.forwardEvents(response, whole, len(events)) {
 				attempt.drop()
 				return finished
 			}
-			if id, ok := lastEventID(whole); ok {
+			if id, ok := lastEventID(events); ok {
 				call.lastEvent = id
 			}
 		}
@@ -47,7 +49,7 @@
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
-		case err == io.EOF && splitter.atBoundary() && (framed(response) || call.events > 0):
+		case err == io.EOF && splitter.AtBoundary() && (framed(response) || call.events > 0):
 			return attempt.finishStream(response)
 		default:
 			return attempt.streamBroken(ctx, err)
@@ -61,9 +63,9 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
-// forwardEvents writes complete events to the caller, after the head of the first
+// forwardEvents writes count complete events to the caller, after the head of the first
 // response. It returns false if the caller has disconnected.
-func (attempt *attempt) forwardEvents(response *http.Response, whole []byte) bool {
+func (attempt *attempt) forwardEvents(response *http.Response, whole []byte, count int) bool {
 	call := attempt.call
 	if !call.committed {
 		call.committed = true
@@ -74,7 +76,6 @@
 	if _, err := call.writer.Write(whole); err != nil {
 		return false
 	}
-	count := bytes.Count(whole, eventEnd)
 	if call.events == 0 && count > 0 {
 		attempt.noteBeginning()
 	}
@@ -113,64 +114,53 @@
 // maxEventBytes limits one event of a stream. An event holds some tokens of text.
 const maxEventBytes = 64 << 10
 
-// eventEnd ends a server-sent event.
-var eventEnd = []byte("\n\n")
-
-// eventSplitter splits a stream of server-sent events at the ends of events. The zero
+// eventSplitter splits a stream of server-sent events within the bounds of the gateway. The zero
 // value is at the start of a stream.
 type eventSplitter struct {
-	// memory is the part of the gateway's memory for bodies that pending takes, unless it is
-	// nil. An upstream may begin an event on each of its streams and never end it.
+	sse.Splitter
+	// memory is the part of the gateway's memory for bodies that the event which is not
+	// complete takes, unless it is nil. An upstream may begin an event on each of its streams
+	// and never end it.
 	memory *h1.Reservation
-	// pending holds the bytes of the stream that were not returned yet, and returned the
-	// number of bytes at its start that the last call returned.
-	pending  []byte
-	returned int
 }
 
-// split appends chunk to the stream and returns the events that are complete now. The
-// result is valid until the next call. It returns an *h1.BoundError, after the events
-// before it, if the next event is over maxEventBytes, and h1.ErrMemory if there is no memory
-// for it.
-func (splitter *eventSplitter) split(chunk []byte) ([]byte, error) {
-	rest := copy(splitter.pending, splitter.pending[splitter.returned:])
-	splitter.pending, splitter.returned = append(splitter.pending[:rest], chunk...), 0
-	searched := max(0, rest-len(eventEnd)+1)
-	if end := bytes.LastIndex(splitter.pending[searched:], eventEnd); end >= 0 {
-		splitter.returned = searched + end + len(eventEnd)
-	}
+// split appends chunk to the stream and returns the bytes up to the end of the last event that
+// is complete now, and the events in them. The results are valid until the next call. It returns
+// an *h1.BoundError, after the events before it, if the next event is over maxEventBytes, and
+// h1.ErrMemory if there is no memory for it.
+func (splitter *eventSplitter) split(chunk []byte) ([]byte, []sse.Event, error) {
+	whole, events := splitter.Split(chunk)
 	var err error
-	if len(splitter.pending)-splitter.returned > maxEventBytes {
+	if len(splitter.Pending()) > maxEventBytes {
 		err = h1.NewBoundError("event", "bytes", maxEventBytes)
 	} else if splitter.memory != nil {
-		err = splitter.memory.Hold(cap(splitter.pending))
+		err = splitter.memory.Hold(splitter.Capacity())
 	}
-	return splitter.pending[:splitter.returned], err
+	return whole, events, err
 }
 
-// atBoundary reports whether no part of an event is pending.
-func (splitter *eventSplitter) atBoundary() bool { return len(splitter.pending) == splitter.returned }
-
 // maxEventIDLength bounds the ID of an event that is put into a header, in bytes.
 const maxEventIDLength = 256
 
 // lastEventID returns the ID of the last event that has one, and false if there are neither IDs
 // nor data. It returns "" if the stream cannot be continued after the events: they have data but
 // no ID, or one that no header can carry.
-func lastEventID(whole []byte) (string, bool) {
-	at := bytes.LastIndex(whole, []byte("\nid:"))
-	switch {
-	case at >= 0:
-		whole = whole[at+len("\nid:"):]
-	case bytes.HasPrefix(whole, []byte("id:")):
-		whole = whole[len("id:"):]
-	default:
-		return "", bytes.Contains(whole, []byte("data:"))
+func lastEventID(events []sse.Event) (string, bool) {
+	hasData := false
+	for _, event := range slices.Backward(events) {
+		hasData = hasData || event.HasData
+		if event.HasID {
+			return headerID(event.ID), true
+		}
 	}
-	line, _, _ := bytes.Cut(whole, []byte("\n"))
-	id := bytes.TrimSpace(line)
+	return "", hasData
+}
+
+// headerID returns the ID of an event as a header carries it, and "" if none can.
+func headerID(id []byte) string {
+	id = bytes.TrimSpace(id)
 	if len(id) > maxEventIDLength || bytes.ContainsFunc(id, func(char rune) bool { return char < ' ' || char == 0x7f }) {
-		return "", true
+		return ""
 	}
-	return string(id), true
+	return string(id)
 }
