Reject a continuation that repeats events of its stream

What callers saw: pieces twice, in an answer that ended as complete, if an upstream that should go on after the last event began again or repeated that event; also where a caller took its stream up. Cause: what an upstream sent as a continuation was passed on unread, although the IDs of a stream increase. The class of the fault: parts of one result are joined from two sources, and nothing checks that the second begins where the first has ended. Change: origin.Position holds the place of the caller in its stream. An event of a continuation whose ID is not behind it ends the attempt, which counts as a failure of the upstream; the next one may go on from the same place. The stream of the upstream that began it is forwarded as it is; if its own IDs go back, nothing shows what the caller has, and it is not continued. Why it works: numbers are compared as numbers, of any length; of other IDs only the last one is known not to follow. The check is made before the event is written.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,6 +11,7 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
 
@@ -37,9 +38,9 @@
 	tried    []core.UpstreamID
 	// committed is set once the response head has been sent to the caller.
 	committed bool
-	// lastEvent is the ID of the last event that was sent to the caller, or that the
-	// caller named in its request.
-	lastEvent string
+	// position is the place in the stream up to which the caller has the events, also those
+	// that it has named in its request.
+	position origin.Position
 	// software is the version of the upstream that wrote the events which were sent to the
 	// caller, also in answer to an earlier request, empty if there are none.
 	software core.SoftwareVersion
@@ -88,7 +89,7 @@
 // run sends the request to one upstream after another until one has answered, the
 // deadline has passed, or no further send is possible or allowed.
 func (call *call) run() {
-	call.lastEvent = call.request.LastEvent
+	call.position = origin.PositionAfter(call.request.LastEvent)
 	limit := call.route.Timeout
 	if call.request.Patience > 0 {
 		limit = min(limit, call.request.Patience)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -114,7 +114,7 @@
 	switch {
 	case !call.origin().Possible():
 		return unknownSoftware
-	case call.events > 0 && call.lastEvent == "":
+	case call.events > 0 && call.position.ID() == "":
 		return unknownEvent
 	default:
 		return ""
--- a/internal/gateway/pieces_test.go
+++ b/internal/gateway/pieces_test.go
@@ -238,7 +238,7 @@
 	return answers
 }
 
-// askInPieces sends a request to a gateway with two upstreams and returns the response.
+// askInPieces sends a request to a gateway with three upstreams and returns the response.
 func askInPieces(t *testing.T, data *datadriven.TestData, answers []*pieceAnswer) string {
 	upstream := &pieceUpstream{answers: answers, received: newReceivedBytes()}
 	resumable, protocol, last := true, "HTTP/1.1", ""
@@ -253,7 +253,7 @@
 		}
 	}
 	table := fleet.NewTable("z")
-	for i := range 2 {
+	for i := range 3 {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -44,6 +44,8 @@
 	selection fleet.Selection
 	key       h1.Key
 	conn      *h1.Conn
+	// continues is set if the upstream must go on after the events that the caller has.
+	continues bool
 	// events is the number of events that the caller has received from this send.
 	events int
 	// release ends the time in which the send is cancelled if its content is convicted.
@@ -91,7 +93,7 @@
 		return tryAnother
 	}
 	attempt.conn = conn
-	if call.lastEvent != "" {
+	if attempt.continues = call.position.ID() != ""; attempt.continues {
 		attempt.logContinuation()
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -165,7 +167,7 @@
 		software = "other"
 	}
 	continuedStreams.Inc(source, software)
-	call.gateway.options.Logger.Info("A stream is continued.", "request", call.request.ID, "source", source, "origin", call.request.Origin, "last_event", call.lastEvent,
+	call.gateway.options.Logger.Info("A stream is continued.", "request", call.request.ID, "source", source, "origin", call.request.Origin, "last_event", call.position.ID(),
 		"software_before", call.software, "software", attempt.selection.Software, "upstream", attempt.selection.Upstream, "sends", call.counts.Sends)
 }
 
@@ -333,7 +335,7 @@
 	call := attempt.call
 	header := call.gateway.options.Dialect.Headers(call.incoming.Header, Send{
 		Upstream: attempt.selection.Upstream, Left: time.Until(call.deadline), Rank: call.route.Rank,
-		Revision: attempt.selection.Revision, LastEvent: call.lastEvent,
+		Revision: attempt.selection.Revision, LastEvent: call.position.ID(),
 	})
 	head := make([]byte, 0, 1024+len(call.body))
 	head = append(head, call.incoming.Method...)
--- a/internal/gateway/splitter_bench_test.go
+++ b/internal/gateway/splitter_bench_test.go
@@ -14,11 +14,12 @@
 			b.ReportAllocs()
 			b.SetBytes(int64(len(read)))
 			var splitter eventSplitter
+			attempt := &attempt{call: &call{}}
 			chunk, passed := []byte(read), 0
 			for b.Loop() {
 				whole, events, _ := splitter.split(chunk)
-				lastEventID(events)
-				passed += len(whole) + len(events)
+				count, _ := attempt.advance(events)
+				passed += len(whole) + count
 			}
 			if passed == 0 {
 				b.Fatal("no event was found")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"slices"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
@@ -36,16 +35,17 @@
 	for {
 		count, err := response.Body.Read(chunk)
 		whole, events, overBound := splitter.split(chunk[:count])
-		if len(whole) > 0 {
-			if !attempt.forwardEvents(response, whole, len(events)) {
-				attempt.drop()
-				return finished
-			}
-			if id, ok := lastEventID(events); ok {
-				call.lastEvent = id
-			}
+		passed, inOrder := attempt.advance(events)
+		if !inOrder {
+			whole = whole[:endOf(events[:passed])]
+		}
+		if len(whole) > 0 && !attempt.forwardEvents(response, whole, passed) {
+			attempt.drop()
+			return finished
 		}
 		switch {
+		case !inOrder:
+			return attempt.outOfOrder()
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
@@ -142,23 +142,50 @@
 // maxEventIDLength bounds the ID of an event that is put into a header, in bytes.
 const maxEventIDLength = 256
 
-// lastEventID returns the ID of the last event, and false if there are neither IDs nor data. It
-// returns "" if the stream cannot be continued after the events: the last one has data but no
-// ID, or one that no header can carry.
-func lastEventID(events []sse.Event) (string, bool) {
-	for _, event := range slices.Backward(events) {
-		if event.Counts() {
-			return headerID(event.ID), true
+// advance moves the position of the caller behind the events. It stops at the first one that
+// does not follow the position, if the upstream continues a stream, and returns its index and
+// false. The events of the upstream that began the stream are forwarded in any order.
+func (attempt *attempt) advance(events []sse.Event) (int, bool) {
+	position := &attempt.call.position
+	for i, event := range events {
+		if !event.Counts() {
+			continue
+		}
+		id := headerID(event.ID)
+		if attempt.continues && len(id) > 0 && !position.Precedes(id) {
+			return i, false
 		}
+		position.Pass(id)
+	}
+	return len(events), true
+}
+
+// endOf returns the offset of the end of the last event.
+func endOf(events []sse.Event) int {
+	if len(events) == 0 {
+		return 0
 	}
-	return "", false
+	return events[len(events)-1].End
 }
 
-// headerID returns the ID of an event as a header carries it, and "" if none can.
-func headerID(id []byte) string {
+// outOfOrder handles an upstream that continues a stream with an event which the caller has.
+func (attempt *attempt) outOfOrder() nextStep {
+	attempt.drop()
+	attempt.observe(fleet.Failed)
+	attempt.log("event out of order", nil)
+	return tryAnother
+}
+
+// headerID returns the ID of an event as a header carries it, and nil if none can.
+func headerID(id []byte) []byte {
 	id = bytes.TrimSpace(id)
-	if len(id) > maxEventIDLength || bytes.ContainsFunc(id, func(char rune) bool { return char < ' ' || char == 0x7f }) {
-		return ""
+	if len(id) > maxEventIDLength {
+		return nil
+	}
+	for _, char := range id {
+		if char < ' ' || char == 0x7f {
+			return nil
+		}
 	}
-	return string(id)
+	return id
 }
--- a/pkg/policy/origin/script_test.go
+++ b/pkg/policy/origin/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,8 +14,8 @@
 
 // TestScripts guards against a stream that goes on at another software version than the one
 // that began it, against an origin that an earlier send of its request replaces, against a
-// table that grows without a bound, and against a version that is taken for the only one although
-// another one served a moment ago.
+// table that grows without a bound, against a version that is taken for the only one although
+// another one served a moment ago, and against events that a caller gets twice.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		table, history := &Table{}, &History{}
@@ -22,6 +23,8 @@
 			switch data.Cmd {
 			case "allows":
 				return runRule(data)
+			case "position":
+				return runPosition(data)
 			case "note", "sole", "start", "agreed":
 				return runHistory(history, data)
 			default:
@@ -66,6 +69,22 @@
 	return result + "\n"
 }
 
+// runPosition passes events with the IDs in the input, of which "-" is none, to a caller who has
+// the event with the ID of the argument after.
+func runPosition(data *datadriven.TestData) string {
+	position := PositionAfter(textArg(data, "after"))
+	var out strings.Builder
+	for id := range strings.FieldsSeq(data.Input) {
+		if id == "-" {
+			id = ""
+		}
+		fmt.Fprintf(&out, "%q precedes=%t", id, position.Precedes([]byte(id)))
+		position.Pass([]byte(id))
+		fmt.Fprintf(&out, " after=%q\n", position.ID())
+	}
+	return out.String()
+}
+
 // runHistory applies a command to a History. Times are in milliseconds.
 func runHistory(history *History, data *datadriven.TestData) string {
 	now := time.Duration(intArg(data, "at")) * time.Millisecond
