Take a continuation without length and events for broken off

What callers saw: a stream that ended as complete before its last piece. It had broken off, and the upstream that should go on closed its connection after the head of an answer without a length or chunks, as a process does that is killed. Cause: such an answer counts as complete only after an event, and the events of all attempts were counted, not those of the answer. The class of the fault: a check of one attempt that reads the state of the request. Change: the events of the attempt count. Why it works: an upstream that continues a stream and sends no event may have ended. The price: one that has nothing left, and states no end, is taken for broken off too. TestPieces/ends, first case, before the change at every split position: 200 with event 1 only, whole=true. After it: events 1 and 2.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,7 +49,7 @@
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
-		case err == io.EOF && splitter.AtBoundary() && (framed(response) || call.events > 0):
+		case err == io.EOF && splitter.AtBoundary() && (framed(response) || attempt.events > 0):
 			return attempt.finishStream(response)
 		default:
 			return attempt.streamBroken(ctx, err)
