Do not count comments in a stream as events

What callers saw: an answer without length that held a comment, such as one that keeps a connection open, and then ended with its connection was a complete stream without its pieces; so was one that should go on after an event. The class of the fault: progress that is counted in units of the encoding and not in what the caller gets. Change: an event counts if it has data or an ID, as in the format.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -39,7 +39,7 @@
 		if !inOrder {
 			whole = whole[:endOf(events[:passed])]
 		}
-		if len(whole) > 0 && !attempt.forwardEvents(response, whole, passed) {
+		if len(whole) > 0 && !attempt.forwardEvents(response, whole, countEvents(events[:passed])) {
 			attempt.drop()
 			return finished
 		}
@@ -168,6 +168,17 @@
 	return events[len(events)-1].End
 }
 
+// countEvents returns the number of the events without comments.
+func countEvents(events []sse.Event) int {
+	count := 0
+	for _, event := range events {
+		if event.Counts() {
+			count++
+		}
+	}
+	return count
+}
+
 // outOfOrder handles an upstream that continues a stream with an event which the caller has.
 func (attempt *attempt) outOfOrder() nextStep {
 	attempt.drop()
