Leave out the byte order mark of a continuation

What callers saw: a byte order mark in the middle of a stream that went on at an upstream whose answers begin with one. A reader takes it for a part of the next line, so the event after it has no ID, or no data. Cause: the mark belongs to the start of an answer, and the parts of several answers were joined with it. Change: it is left out if bytes of the stream were written before. TestPieces/marks before the change: the mark between the events.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -31,6 +31,7 @@
 	memory, release := call.gateway.bodies.Reserve()
 	defer release()
 	splitter := eventSplitter{memory: memory}
+	follows := call.committed
 	chunk := make([]byte, readSize)
 	for {
 		count, err := response.Body.Read(chunk)
@@ -39,6 +40,10 @@
 		if !inOrder {
 			whole = whole[:endOf(events[:passed])]
 		}
+		if follows && len(whole) > 0 {
+			// A byte order mark stands at the start of a stream only.
+			whole, follows = bytes.TrimPrefix(whole, []byte(sse.Mark)), false
+		}
 		if len(whole) > 0 && !attempt.forwardEvents(response, whole, countEvents(events[:passed])) {
 			attempt.drop()
 			return finished
