Read the events of engines at every line end in the own deployments

What callers saw: from engines whose events end with CR, have an ID or a comment before the data, or no space after "data:", an answer without these tokens, which ended as broken off, or as complete if other tokens were read. Events with CR LF were passed on, but the entry VM counts tokens at LF LF, so it found a gap and gave the answer up (read, not run). A plain service's slow events with CR LF or CR counted as a stall. Cause: several places each read one spelling of the format. Change: the client of upstreams splits with package sse and passes tokens on in one form, with LF and one empty line, which the places behind it read. An event of a named type is no token, as before. The end marker counts once its line is complete, as before. TestProgress before: the two new cases cut. Package sse loses End, which nothing used.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -167,3 +167,13 @@
 		}
 	})
 }
+
+// TestDataOfSeveralLines guards against an event whose data has several lines and is read as
+// several events.
+func TestDataOfSeveralLines(t *testing.T) {
+	is := is.New(t)
+	responder := &bufferedResponder{}
+	is.NoErr(responder.Data([]byte("id: 1\ndata: {\"choices\":\ndata: [{\"text\":\"one \"}]}\n\ndata: {\"choices\":[{\"text\":\"two\"}]}\n\n")))
+	is.Equal(responder.text.String(), "one two")
+	is.Equal(responder.tokens, 2)
+}
--- a/internal/caller/responder.go
+++ b/internal/caller/responder.go
@@ -110,12 +110,17 @@
 // since setting up a decoder costs more than decoding one event.
 func (responder *bufferedResponder) Data(data []byte) error {
 	array := make([]byte, 0, len(data)+1)
-	for line := range bytes.SplitSeq(data, []byte("\n")) {
-		payload, ok := bytes.CutPrefix(line, []byte("data: "))
-		if !ok {
-			continue
+	for event := range bytes.SplitSeq(data, []byte("\n\n")) {
+		// The data of one event may have several lines.
+		separator := byte(',')
+		for line := range bytes.SplitSeq(event, []byte("\n")) {
+			payload, ok := bytes.CutPrefix(line, []byte("data: "))
+			if !ok {
+				continue
+			}
+			array = append(append(array, separator), payload...)
+			separator = '\n'
 		}
-		array = append(append(array, ','), payload...)
 	}
 	if len(array) == 0 {
 		return nil
--- a/internal/sse/splitter.go
+++ b/internal/sse/splitter.go
@@ -74,21 +74,20 @@
 	return splitter.pending[:splitter.returned], splitter.events
 }
 
-// End returns the event that is complete if the stream has ended: its empty line ends with a CR
-// behind which a LF was expected. The results are valid until the next call.
-func (splitter *Splitter) End() ([]byte, []Event) {
-	splitter.shift(nil)
-	if end := splitter.lineStart; end+1 == len(splitter.pending) && splitter.pending[end] == '\r' {
-		splitter.endLine(end, endCR)
+// Reset begins a new stream. It keeps the buffer if that has at most the given capacity in bytes.
+func (splitter *Splitter) Reset(capacity int) {
+	kept, events := splitter.pending[:0], splitter.events[:0]
+	if cap(kept) > capacity {
+		kept = nil
 	}
-	return splitter.pending[:splitter.returned], splitter.events
+	*splitter = Splitter{pending: kept, events: events}
 }
 
 // AtBoundary reports whether no part of an event is pending.
 func (splitter *Splitter) AtBoundary() bool { return len(splitter.pending) == splitter.returned }
 
 // Pending returns the bytes of the event that is not complete. They are valid until the next
-// call of Split or End.
+// call of Split.
 func (splitter *Splitter) Pending() []byte { return splitter.pending[splitter.returned:] }
 
 // Capacity returns the size in bytes of the buffer that the splitter holds.
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/answer_test.go
@@ -143,6 +143,8 @@
 		{"empty events of a stalled engine", "event: x\n\n", time.Second, true, firstByteTimeout},
 		{"bytes of a stalled engine", "d", time.Second, true, firstByteTimeout},
 		{"slow events of a service", "data: x\n\n", 29 * time.Second, false, 0},
+		{"slow events with CR LF of a service", "data: x\r\n\r\n", 29 * time.Second, false, 0},
+		{"slow events with CR of a service", "data: x\r\r", 29 * time.Second, false, 0},
 		{"slow parts of a service", strings.Repeat("x", progressBytes), 29 * time.Second, false, 0},
 		{"bytes of a stalled service", "x", time.Second, false, serviceTimeout},
 	}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -1,8 +1,6 @@
 package upstream
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -14,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/internal/h1"
+	"github.com/dandelionring/dandelionring/internal/sse"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -23,15 +22,11 @@
 	maxResponseBytes = 64 << 10
 	// maxEventBytes bounds the size of one server-sent event.
 	maxEventBytes = 64 << 10
-	// readBufferBytes is the size of the read buffer of one stream. Longer lines are
-	// read in several parts.
+	// readBufferBytes is the size of the read buffer of one stream.
 	readBufferBytes = 16 << 10
 	// maxAnswerBytes bounds the body of the answer to a call. An engine or a service may
 	// send without end.
 	maxAnswerBytes = 64 << 20
-	// maxChunkBytes is the size from which collected events are passed on even if more
-	// data is buffered.
-	maxChunkBytes = 32 << 10
 )
 
 // FencedError is returned if an engine refused an order or a call because it has seen a
@@ -231,45 +226,35 @@
 	return &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: h1.NewBoundError(part, "bytes", limit)}
 }
 
-var (
-	dataPrefix = []byte("data: ")
-	endMarker  = []byte("data: [DONE]")
-)
-
 // relayEvents passes on only complete events, so that a caller never receives part of an
-// event if the stream breaks off. Each event is one token; the end marker is not passed
-// on. Events that arrived together are passed on together. It returns the offset in
+// event if the stream breaks off. Each event with data is one token; the end marker is not
+// passed on. Events that arrived together are passed on together. It returns the offset in
 // tokens of the last complete event.
 func relayEvents(body io.Reader, call core.Call, head *core.Head, idleTimer *time.Timer, send func(core.Chunk) error) (core.Tokens, error) {
-	relay := &eventRelay{call: call, head: head, offset: call.ResumeOffset, send: send}
+	buffers := relayBufferPool.Get().(*relayBuffers)
+	defer relayBufferPool.Put(buffers)
+	buffers.splitter.Reset(readBufferBytes)
+	relay := &eventRelay{call: call, head: head, offset: call.ResumeOffset, send: send, splitter: &buffers.splitter}
 	total := 0
-	reader := readerPool.Get().(*bufio.Reader)
-	reader.Reset(body)
-	defer func() {
-		reader.Reset(nil)
-		readerPool.Put(reader)
-	}()
 	for {
-		line, err := reader.ReadSlice('\n')
-		if total += len(line); total > maxAnswerBytes {
+		count, err := body.Read(buffers.read[:])
+		if total += count; total > maxAnswerBytes {
 			return relay.offset, newBoundError("body", maxAnswerBytes)
 		}
-		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+		ended, failure := relay.add(buffers.read[:count])
+		if failure != nil {
+			return relay.offset, failure
+		}
+		if ended {
+			return relay.offset, relay.flush()
+		}
+		if err != nil {
 			// Events that were complete before the stream broke off belong to the answer.
 			if failure := relay.flush(); failure != nil {
 				return relay.offset, failure
 			}
 			return relay.offset, &CallError{Outcome: core.Ran, Code: core.CodeStreamBroken, Lost: true, Err: errors.Wrap(err, "read stream")}
 		}
-		if !relay.longLine && bytes.HasPrefix(line, endMarker) {
-			return relay.offset, relay.flush()
-		}
-		if err := relay.addLine(line, err == nil); err != nil {
-			return relay.offset, err
-		}
-		if reader.Buffered() > 0 && len(relay.complete) < maxChunkBytes {
-			continue
-		}
 		if len(relay.complete) == 0 {
 			continue // lines without a token are no progress
 		}
@@ -280,8 +265,14 @@
 	}
 }
 
-// readerPool holds readers of ended streams for reuse.
-var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
+// relayBuffers are the buffers of one stream.
+type relayBuffers struct {
+	splitter sse.Splitter
+	read     [readBufferBytes]byte
+}
+
+// relayBufferPool holds the buffers of ended streams for reuse.
+var relayBufferPool = sync.Pool{New: func() any { return new(relayBuffers) }}
 
 // eventRelay collects the events of one answer and passes them on in chunks.
 type eventRelay struct {
@@ -290,33 +281,38 @@
 	// head is nil after it has been passed on.
 	head *core.Head
 	// offset is the number of tokens of the answer up to the end of complete.
-	offset core.Tokens
-	// complete holds the complete events that are not passed on yet, partial the lines of
-	// the next event.
+	offset   core.Tokens
+	splitter *sse.Splitter
+	// complete holds the complete events that are not passed on yet.
 	complete []byte
-	partial  []byte
-	// longLine is set while a line is read in several parts.
-	longLine bool
 }
 
-// addLine adds a line, or a part of a line if complete is false. It returns a *CallError
-// if the event exceeds maxEventBytes.
-func (relay *eventRelay) addLine(line []byte, complete bool) error {
-	blank := complete && !relay.longLine && len(bytes.TrimSpace(line)) == 0
-	relay.longLine = !complete
-	relay.partial = append(relay.partial, line...)
-	if len(relay.partial) > maxEventBytes {
-		return newBoundError("event", maxEventBytes)
-	}
-	if !blank {
-		return nil
+// add adds a part of the stream. It returns true if the end marker has arrived, and a
+// *CallError if an event exceeds maxEventBytes.
+func (relay *eventRelay) add(part []byte) (bool, error) {
+	whole, events := relay.splitter.Split(part)
+	start := 0
+	for _, event := range events {
+		text := whole[start:event.End]
+		start = event.End
+		if len(text) > maxEventBytes {
+			return false, newBoundError("event", maxEventBytes)
+		}
+		if !event.HasData {
+			continue
+		}
+		if endsAnswer(text) {
+			return true, nil
+		}
+		if token, ok := appendToken(relay.complete, text); ok {
+			relay.complete = token
+			relay.offset++
+		}
 	}
-	if bytes.HasPrefix(relay.partial, dataPrefix) {
-		relay.offset++
-		relay.complete = append(relay.complete, relay.partial...)
+	if len(relay.splitter.Pending()) > maxEventBytes {
+		return false, newBoundError("event", maxEventBytes)
 	}
-	relay.partial = relay.partial[:0]
-	return nil
+	return endsAnswer(relay.splitter.Pending()), nil
 }
 
 // flush passes on the head and the complete events. The receiver takes ownership of the
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -122,11 +122,17 @@
 // answerProgress tells an answer that proceeds from one that sends a byte now and then. The
 // zero value is at the start of an answer.
 type answerProgress struct {
-	// pending is the number of bytes since the last progress, and last the last byte.
+	// pending is the number of bytes since the last progress, and last the last bytes.
 	pending int
-	last    byte
+	last    []byte
 }
 
+// eventEnds are the line ends that end a server-sent event.
+var eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r"), []byte("\r\r")}
+
+// maxEventEnd is the length in bytes of the longest of them.
+const maxEventEnd = 2
+
 // advance adds a part of the answer. It returns true once progressBytes have arrived since
 // the last progress, or the empty line that ends a server-sent event.
 func (progress *answerProgress) advance(part []byte) bool {
@@ -134,9 +140,13 @@
 		return false
 	}
 	progress.pending += len(part)
-	eventEnds := bytes.Contains(part, []byte("\n\n")) || progress.last == '\n' && part[0] == '\n'
-	progress.last = part[len(part)-1]
-	if progress.pending < progressBytes && !eventEnds {
+	joint := append(progress.last, part[:min(len(part), maxEventEnd-1)]...)
+	ends := false
+	for _, end := range eventEnds {
+		ends = ends || bytes.Contains(part, end) || bytes.Contains(joint, end)
+	}
+	progress.last = append(progress.last[:0], part[len(part)-1])
+	if progress.pending < progressBytes && !ends {
 		return false
 	}
 	progress.pending = 0
