Play faults against real processes of the two roles

No run on real processes of the two roles existed: the failure cases play the own deployment, and the tests of the platform start the roles inside one process.

The relay can reset connections, and passes a reset on as one.

--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -44,7 +44,8 @@
 	connections map[*connection]struct{}
 }
 
-// connection is one relayed connection: client was accepted, server was dialled.
+// connection is one relayed connection: client was accepted, server was dialled. server is
+// set while the lock of the relay is held.
 // silent is closed to stop all traffic, closed when both ends are closed.
 type connection struct {
 	from, to  Endpoint
@@ -125,6 +126,23 @@
 	return count
 }
 
+// Reset resets both sides of the open connections between the endpoints, whichever of them
+// opened the connection, and returns their number. Data in transit is lost.
+func (relay *Relay) Reset(directions []Direction) int {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	count := 0
+	for connection := range relay.connections {
+		for _, direction := range directions {
+			if connection.matches(direction) && !isClosed(connection.closed) {
+				connection.reset()
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (connection *connection) matches(direction Direction) bool {
 	matches := func(name, end Endpoint) bool { return name == anyEndpoint || name == end }
 	return matches(direction.From, connection.from) && matches(direction.To, connection.to) || matches(direction.From, connection.to) && matches(direction.To, connection.from)
@@ -162,7 +180,9 @@
 	if err != nil {
 		return
 	}
+	relay.mu.Lock()
 	connection.server = server
+	relay.mu.Unlock()
 	var forwarders sync.WaitGroup
 	forwarders.Go(func() {
 		relay.forward(connection, Direction{connection.from, connection.to}, connection.client, server)
@@ -206,7 +226,7 @@
 		if count > 0 {
 			relay.waitDelay(connection)
 			if _, err := sink.Write(buffer[:count]); err != nil {
-				connection.close()
+				connection.reset()
 				return
 			}
 		}
@@ -249,12 +269,22 @@
 }
 
 // halfClose forwards the end of one direction by closing the write side of sink.
-// After an error other than errEndOfStream it closes both sides.
+// After an error other than errEndOfStream, such as a reset, it resets both sides.
 func (connection *connection) halfClose(sink net.Conn, err error) {
 	tcpSink, ok := sink.(*net.TCPConn)
 	if ok && errors.Is(err, errEndOfStream) && tcpSink.CloseWrite() == nil {
 		return
 	}
+	connection.reset()
+}
+
+// reset closes both sides so that each sees a reset instead of the end of the stream.
+func (connection *connection) reset() {
+	for _, side := range []net.Conn{connection.client, connection.server} {
+		if side, ok := side.(*net.TCPConn); ok {
+			_ = side.SetLinger(0)
+		}
+	}
 	connection.close()
 }
 
--- /dev/null
+++ b/standin/rig/player.go
@@ -0,0 +1,551 @@
+package rig
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/standin/relay"
+)
+
+// Options are the options of a player.
+type Options struct {
+	// Node is the program of the VMs, and Self the program whose subcommand "upstream" runs
+	// an upstream.
+	Node, Self string
+	// Folder holds the settings, logs, disks and records of the play.
+	Folder string
+	Seed   uint64
+	// Log takes the faults as they happen.
+	Log io.Writer
+}
+
+// player plays one play.
+type player struct {
+	play      *Play
+	options   Options
+	messages  DeploymentMessages
+	recorder  *Recorder
+	relay     *relay.Relay
+	ports     Ports
+	addresses []string // of the control VMs for operators and upstreams
+	vms       []VM
+	upstreams []UpstreamOptions
+	relayed   map[string]relay.Route
+	processes map[string]*process
+	random    *rand.Rand
+	callers   *callers
+	number    core.ConfigNumber
+	changes   int
+	begin     time.Time
+	// lock guards the fields below; no other lock is acquired while it is held.
+	lock   sync.Mutex
+	ends   map[string]int // the times that a VM has ended by itself
+	starts map[string]int
+}
+
+// Summary is what the player itself has seen.
+type Summary struct {
+	// Ends counts the ends of VMs by themselves.
+	Ends map[string]int
+	// Attempts counts the attempts of callers by route and result.
+	Attempts map[string]int
+}
+
+// Run plays a play from the start of the processes to their end. The records are in the
+// folder then, in files with the suffix ".records".
+func Run(ctx context.Context, play *Play, options Options, messages DeploymentMessages) (Summary, error) {
+	recorder, closeRecords, err := NewRecorder(filepath.Join(options.Folder, "player.records"))
+	if err != nil {
+		return Summary{}, errors.Wrap(err, "open the records of the player")
+	}
+	defer func() { _ = closeRecords() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	player := &player{
+		play: play, options: options, messages: messages, recorder: recorder, relay: relay.New(ctx), relayed: make(map[string]relay.Route),
+		processes: make(map[string]*process), random: rand.New(rand.NewPCG(options.Seed, 1)), ends: make(map[string]int), starts: make(map[string]int),
+	}
+	if err := player.layOut(); err != nil {
+		return Summary{}, errors.Wrap(err, "lay out the deployment")
+	}
+	var running sync.WaitGroup
+	failed := make(chan error, len(player.processes)+1)
+	for name, process := range player.processes {
+		log, err := os.Create(filepath.Join(options.Folder, name+".log"))
+		if err != nil {
+			cancel()
+			running.Wait()
+			return Summary{}, errors.Wrap(err, "create a log")
+		}
+		running.Go(func() {
+			defer log.Close()
+			if err := process.supervise(ctx, log); err != nil {
+				failed <- err
+				cancel()
+			}
+		})
+	}
+	err = player.perform(ctx)
+	cancel()
+	running.Wait()
+	select {
+	case failure := <-failed:
+		return Summary{}, failure
+	default:
+	}
+	if err != nil {
+		return Summary{}, err
+	}
+	return Summary{Ends: player.ends, Attempts: player.callers.results}, nil
+}
+
+// startLimit is the time in which the deployment must be ready to serve.
+const startLimit = 30 * time.Second
+
+// perform configures the deployment, sends requests and carries out the faults.
+func (player *player) perform(ctx context.Context) error {
+	balancer := &balancer{path: player.messages.Paths().Ready, client: http.Client{Timeout: checkTimeout}, missed: make(map[string]int)}
+	for _, vm := range player.vms {
+		if !vm.Control {
+			balancer.entries = append(balancer.entries, entryVM{
+				name: vm.Name, zone: vm.Zone, address: join(vm.IP, player.ports.Caller), ready: join(vm.IP, player.ports.Ready),
+			})
+		}
+	}
+	watching, stopWatch := context.WithCancel(ctx)
+	defer stopWatch()
+	go balancer.watch(watching)
+	started, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := player.configure(started); err != nil {
+		return errors.Wrap(err, "send the first configuration")
+	}
+	for balancer.ready() < len(balancer.entries) {
+		if started.Err() != nil {
+			return errors.Errorf("%d of %d entry VMs are ready in time", balancer.ready(), len(balancer.entries))
+		}
+		pause(started, checkInterval/4)
+	}
+	player.log("ready: %d entry VMs", len(balancer.entries))
+	player.callers = newCallers(player.play, player.messages.Headers(), balancer, player.recorder, rand.New(rand.NewPCG(player.options.Seed, 2)))
+	faults := planFaults(player.play, player.members(), rand.New(rand.NewPCG(player.options.Seed, 3)))
+	sending, stopSending := context.WithTimeout(ctx, player.play.length())
+	defer stopSending()
+	player.begin = time.Now()
+	var working sync.WaitGroup
+	working.Go(func() { player.callers.send(sending) })
+	for i, fault := range faults {
+		pause(sending, fault.After-time.Since(player.begin))
+		if sending.Err() != nil {
+			break
+		}
+		player.log("%s %v %v", fault.Kind, fault.Length, fault.Targets)
+		working.Go(func() { player.inject(sending, i, fault) })
+	}
+	<-sending.Done()
+	working.Wait()
+	player.callers.close()
+	return ctx.Err()
+}
+
+func (player *player) log(format string, values ...any) {
+	since := 0.0
+	if !player.begin.IsZero() {
+		since = time.Since(player.begin).Seconds()
+	}
+	fmt.Fprintf(player.options.Log, "%6.2f %s\n", since, fmt.Sprintf(format, values...))
+}
+
+// configure sends a new configuration to the control VMs until one accepts it.
+func (player *player) configure(ctx context.Context) error {
+	player.lock.Lock()
+	player.number += core.ConfigNumber(1 + player.random.IntN(5))
+	configuration := Configuration{Number: player.number, Moved: player.changes}
+	player.changes++
+	first := player.random.IntN(len(player.addresses))
+	player.lock.Unlock()
+	body, err := player.messages.Configuration(configuration, player.play)
+	if err != nil {
+		return errors.Wrap(err, "encode the configuration")
+	}
+	client := http.Client{Timeout: callTimeout}
+	for i := first; ; i++ {
+		status, err := put(ctx, &client, "http://"+player.addresses[i%len(player.addresses)]+player.messages.Paths().Config, body)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return errors.Errorf("no control VM accepts the configuration; the last answer is %d, %v", status, err)
+		}
+		pause(ctx, announceRetry)
+	}
+}
+
+// put sends a document and returns the status of the response.
+func put(ctx context.Context, client *http.Client, url string, body []byte) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, errors.Wrap(err, "make the call")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, errors.Wrap(err, "call a control VM")
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return 0, errors.Wrap(err, "read the response")
+	}
+	return response.StatusCode, nil
+}
+
+// members returns the processes among which faults choose.
+func (player *player) members() members {
+	members := members{tolerate: player.play.Bounds.Tolerate, catchUp: time.Duration(player.play.Bounds.CatchUpSeconds * float64(time.Second))}
+	for _, zone := range player.play.Zones {
+		var names []string
+		for _, vm := range player.vms {
+			if vm.Zone == zone.Zone {
+				names = append(names, vm.Name)
+			}
+		}
+		members.zones = append(members.zones, names)
+	}
+	for _, vm := range player.vms {
+		if vm.Control {
+			members.controls = append(members.controls, vm.Name)
+		} else {
+			members.entries = append(members.entries, vm.Name)
+		}
+	}
+	for _, upstream := range player.upstreams {
+		members.upstreams = append(members.upstreams, upstream.Process)
+		if _, ok := player.relayed[upstream.Process]; ok {
+			members.relayed = append(members.relayed, upstream.Process)
+		}
+	}
+	return members
+}
+
+// inject carries out a fault and undoes it after its length.
+func (player *player) inject(ctx context.Context, index int, fault Fault) {
+	switch fault.Kind {
+	case Burst:
+		player.callers.ratePercent.Store(220)
+		pause(ctx, fault.Length)
+		player.callers.ratePercent.Store(100)
+	case Change:
+		limited, cancel := context.WithTimeout(ctx, startLimit)
+		defer cancel()
+		_ = player.configure(limited) // not accepted if the control VMs are down for that long
+	case Crash:
+		player.callers.crash(ctx, index)
+	case RollEntries:
+		for _, target := range fault.Targets {
+			player.disrupt(ctx, target, fault)
+		}
+	default:
+		var all sync.WaitGroup
+		for _, target := range fault.Targets {
+			all.Go(func() { player.disrupt(ctx, target, fault) })
+		}
+		all.Wait()
+	}
+}
+
+// disrupt disrupts one process for the length of the fault and records it.
+func (player *player) disrupt(ctx context.Context, target string, fault Fault) {
+	detail := string(fault.Kind)
+	if fault.Kind == Delay {
+		detail = Slowed + " " + detail
+	}
+	player.recorder.Write(Record{Event: Disrupted, Process: target, Detail: detail})
+	process := player.processes[target]
+	forward, back := relay.Direction{From: vmEndpoint, To: relay.Endpoint(target)}, relay.Direction{From: relay.Endpoint(target), To: vmEndpoint}
+	switch fault.Kind {
+	case FreezeEntry, FreezeControl, FreezeZone, FreezeUpstream:
+		process.freeze(ctx, fault.Length)
+	case KillEntry, KillEntries, KillControl, KillControls, KillUpstream:
+		process.kill(ctx, fault.Length)
+	case StopEntry, RollEntries, StopControl:
+		process.stop(ctx, time.Duration(player.play.Bounds.GraceSeconds*float64(time.Second)), fault.Length)
+	case StopUpstream:
+		process.stop(ctx, stopAllowance, fault.Length)
+	case Cut:
+		player.cut(ctx, fault.Length, forward, back)
+	case CutRequests:
+		player.cut(ctx, fault.Length, forward)
+	case CutAnswers:
+		player.cut(ctx, fault.Length, back)
+	case Silence:
+		player.relay.Silence([]relay.Direction{forward})
+	case Reset:
+		player.relay.Reset([]relay.Direction{forward})
+	case Delay:
+		route := player.relayed[target]
+		slow := route
+		slow.DelayMicros = int64(20_000 + len(target)*1000)
+		_, _ = player.relay.Add(slow)
+		pause(ctx, fault.Length)
+		_, _ = player.relay.Add(route)
+	}
+	player.recorder.Write(Record{Event: Restored, Process: target, Detail: detail})
+}
+
+func (player *player) cut(ctx context.Context, length time.Duration, directions ...relay.Direction) {
+	player.relay.Cut(directions)
+	pause(ctx, length)
+	player.relay.Heal(directions)
+}
+
+// vmEndpoint stands for all entry VMs and control VMs on the links to an upstream, since a
+// connection over loopback addresses does not show which process opened it.
+const vmEndpoint relay.Endpoint = "vms"
+
+// engineRestartDelay is the time after which an upstream that crashed starts again, and
+// vmRestartDelay the same for a VM.
+const (
+	engineRestartDelay = 2 * time.Second
+	vmRestartDelay     = 500 * time.Millisecond
+)
+
+// layOut chooses the addresses and prepares all processes.
+func (player *player) layOut() error {
+	block := newBlock()
+	if err := player.layOutVMs(block); err != nil {
+		return err
+	}
+	return player.layOutUpstreams(block)
+}
+
+func (player *player) layOutVMs(block *addressBlock) error {
+	for _, zone := range player.play.Zones {
+		for i := range zone.Controls {
+			player.vms = append(player.vms, VM{Name: controlName(zone, i), Control: true, Zone: zone.Zone, IP: block.next()})
+		}
+		for i := range zone.Entries {
+			player.vms = append(player.vms, VM{Name: fmt.Sprintf("entry-%s-%d", zone.Zone, i+1), Zone: zone.Zone, IP: block.next()})
+		}
+	}
+	var err error
+	if player.ports, err = block.commonPorts(); err != nil {
+		return errors.Wrap(err, "choose ports")
+	}
+	const maxSeeds = 3
+	for _, vm := range player.vms {
+		if vm.Control {
+			player.addresses = append(player.addresses, join(vm.IP, player.ports.Control))
+		}
+	}
+	for i := range player.vms {
+		vm := &player.vms[i]
+		vm.Ports, vm.Seeds = player.ports, player.addresses[:min(maxSeeds, len(player.addresses))]
+		if vm.Control {
+			vm.DataFolder = filepath.Join(player.options.Folder, "disk-"+vm.Name)
+			if err := os.MkdirAll(vm.DataFolder, 0o755); err != nil {
+				return errors.Wrap(err, "create a disk folder")
+			}
+		}
+		player.processes[vm.Name] = &process{
+			name: vm.Name, restartDelay: vmRestartDelay, ended: player.endedByItself,
+			command: func(first bool) (*exec.Cmd, error) { return player.vmCommand(*vm, first) },
+		}
+	}
+	return nil
+}
+
+// endedByItself counts the end of a VM, which is no disruption.
+func (player *player) endedByItself(name string, err error) {
+	player.log("%s has ended by itself: %v", name, err)
+	player.lock.Lock()
+	defer player.lock.Unlock()
+	player.ends[name]++
+}
+
+// vmCommand writes the settings file of a VM and returns the command that starts it.
+func (player *player) vmCommand(vm VM, first bool) (*exec.Cmd, error) {
+	vm.FirstStart = first
+	variable, content, err := player.messages.Settings(vm, player.play)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode settings")
+	}
+	path := filepath.Join(player.options.Folder, vm.Name+".settings.json")
+	if err := os.WriteFile(path, content, 0o644); err != nil {
+		return nil, errors.Wrap(err, "write settings")
+	}
+	role := "entry"
+	if vm.Control {
+		role = "control"
+	}
+	command := exec.Command(player.options.Node, role)
+	command.Env = append(os.Environ(), variable+"="+path)
+	return command, nil
+}
+
+func (player *player) layOutUpstreams(block *addressBlock) error {
+	for _, service := range player.play.Services {
+		count := 0
+		for _, zone := range player.play.Zones {
+			for range zone.Upstreams[service.Service] {
+				count++
+				if err := player.addUpstream(block, service, zone.Zone, count); err != nil {
+					return errors.Wrap(err, "add an upstream")
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// addUpstream adds the upstream with a number within its service. Every second one is
+// announced with an address of the relay.
+func (player *player) addUpstream(block *addressBlock, service Service, zone core.ZoneID, number int) error {
+	listen, err := block.address()
+	if err != nil {
+		return err
+	}
+	options := UpstreamOptions{
+		Process: fmt.Sprintf("%s-%s-%d", service.Service, zone, number), Service: service.Service, Zone: zone,
+		Software: player.play.Versions[number%len(player.play.Versions)], Format: player.play.Formats[number%len(player.play.Formats)],
+		Listen: listen, Address: listen, Controls: player.addresses, Spec: service.Spec,
+		BeatMillis: player.play.Bounds.HeartbeatMillis, DrainMillis: player.play.Bounds.DrainMillis, RecordsFolder: player.options.Folder,
+		Seed: player.random.Uint64(),
+	}
+	if service.Engine {
+		options.Model = player.play.Model
+	}
+	if number%2 == 0 {
+		route := relay.Route{From: vmEndpoint, To: relay.Endpoint(options.Process), Target: listen}
+		if route.Listen, err = block.address(); err != nil {
+			return err
+		}
+		if options.Address, err = player.relay.Add(route); err != nil {
+			return errors.Wrap(err, "open a route of the relay")
+		}
+		player.relayed[options.Process] = route
+	}
+	player.upstreams = append(player.upstreams, options)
+	player.processes[options.Process] = &process{
+		name: options.Process, restartDelay: engineRestartDelay,
+		ended: func(name string, err error) {
+			player.log("%s has ended: %v", name, err)
+			player.recorder.Write(Record{Event: Disrupted, Process: name, Detail: "crashed"})
+			player.recorder.Write(Record{Event: Restored, Process: name, At: time.Now().Add(engineRestartDelay).UnixMicro(), Detail: "crashed"})
+		},
+		command: func(bool) (*exec.Cmd, error) { return player.upstreamCommand(options) },
+	}
+	return nil
+}
+
+// upstreamCommand returns the command that starts an upstream: mostly under a new ID, since
+// an upstream may also come back under the one that it had.
+func (player *player) upstreamCommand(options UpstreamOptions) (*exec.Cmd, error) {
+	player.lock.Lock()
+	if player.starts[options.Process] == 0 || player.random.IntN(4) != 0 {
+		player.starts[options.Process]++
+	}
+	options.Upstream = core.UpstreamID("i-" + options.Process + "-" + strconv.Itoa(player.starts[options.Process]))
+	player.lock.Unlock()
+	content, err := json.Marshal(options)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode options")
+	}
+	path := filepath.Join(player.options.Folder, options.Process+".options.json")
+	if err := os.WriteFile(path, content, 0o644); err != nil {
+		return nil, errors.Wrap(err, "write options")
+	}
+	return exec.Command(player.options.Self, "upstream", path), nil
+}
+
+// ReadUpstreamOptions reads the options of an upstream that the player has written.
+func ReadUpstreamOptions(path string) (UpstreamOptions, error) {
+	var options UpstreamOptions
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return options, errors.Wrap(err, "read options")
+	}
+	if err := json.Unmarshal(data, &options); err != nil {
+		return options, errors.Wrap(err, path)
+	}
+	return options, nil
+}
+
+// addressBlock hands out loopback IP numbers that belong to this process alone, so that two
+// plays do not share one.
+type addressBlock struct {
+	prefix string
+	used   int
+}
+
+func newBlock() *addressBlock {
+	pid := os.Getpid()
+	return &addressBlock{prefix: fmt.Sprintf("127.%d.%d.", 128+pid>>8&63, pid&255)}
+}
+
+// next returns the next IP number.
+func (block *addressBlock) next() string {
+	block.used++
+	return block.prefix + strconv.Itoa(block.used)
+}
+
+// address returns the next IP number with a free port.
+func (block *addressBlock) address() (string, error) {
+	listener, err := net.Listen("tcp", block.next()+":0")
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+const (
+	// innerPorts is the number of ports for messages between VMs.
+	innerPorts = 16
+	// commonPortAttempts bounds the search for ports that are free on all VMs.
+	commonPortAttempts = 100
+)
+
+// commonPorts returns ports that are free on all IP numbers handed out so far.
+func (block *addressBlock) commonPorts() (Ports, error) {
+	for range commonPortAttempts {
+		first := 20000 + rand.IntN(10000)
+		if block.free(first, innerPorts+3) {
+			return Ports{
+				InnerFirst: first, InnerLast: first + innerPorts - 1,
+				Caller: first + innerPorts, Ready: first + innerPorts + 1, Control: first + innerPorts + 2,
+			}, nil
+		}
+	}
+	return Ports{}, errors.New("no ports are free on all VMs")
+}
+
+// free reports whether consecutive ports are free on all IP numbers handed out.
+func (block *addressBlock) free(first, count int) bool {
+	for number := 1; number <= block.used; number++ {
+		for port := first; port < first+count; port++ {
+			listener, err := net.Listen("tcp", join(block.prefix+strconv.Itoa(number), port))
+			if err != nil {
+				return false
+			}
+			listener.Close()
+		}
+	}
+	return true
+}
+
+func join(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
