--- a/scripts/steps.sh
+++ b/scripts/steps.sh
@@ -130,6 +130,22 @@
 # gone NAME succeeds if the process has exited.
 gone() { ! is_running "$1"; }
 
+# play NAME plays scripts/fault.d/NAME.play.json against real processes of the platform's two
+# roles, with the program in node_binary or that of this tree, and judges the records.
+step_play() {
+	local node=${node_binary:-$PWD/.bin/dandelionring-node} status=0
+	go build -o .bin/ ./platform/cmd/rig
+	[ -n "${node_binary:-}" ] || go build -o .bin/ ./platform/cmd/dandelionring-node
+	mkdir -p "$run_dir/$1"
+	start "$1" .bin/rig play "scripts/fault.d/$1.play.json" --node "$node" --folder "$run_dir/$1" --seed "$seed"
+	wait "${pids[$1]}" || status=$?
+	unset "pids[$1]"
+	cat "$run_dir/$1.out"
+	[ "$status" != 2 ] || violation Play "$(tail -n 1 "$run_dir/$1.err")"
+	[ "$status" != 1 ] || violation Rules "see $1/verdict.json"
+	! grep -lE '^panic:|DATA RACE|fatal error:' "$run_dir/$1"/*.log || violation Panic "see the logs above"
+}
+
 # pick NAME CHOICES... assigns one of the choices, selected by the seed, to NAME.
 step_pick() {
 	local name=$1
--- a/standin/rig/callers.go
+++ b/standin/rig/callers.go
@@ -125,6 +125,7 @@
 	recorder *Recorder
 	// ratePercent multiplies the rate of new requests.
 	ratePercent atomic.Int64
+	changes     *atomic.Int64 // of the configuration in force
 	running     sync.WaitGroup
 	clients     []*client
 	// lock guards the fields below; no other lock is acquired while it is held.
@@ -145,8 +146,8 @@
 	idle map[string][]*connection
 }
 
-func newCallers(play *Play, headers Headers, balancer *balancer, recorder *Recorder, random *rand.Rand) *callers {
-	callers := &callers{play: play, headers: headers, balancer: balancer, recorder: recorder, random: random, results: make(map[string]int)}
+func newCallers(play *Play, headers Headers, balancer *balancer, recorder *Recorder, changes *atomic.Int64, random *rand.Rand) *callers {
+	callers := &callers{play: play, headers: headers, balancer: balancer, recorder: recorder, changes: changes, random: random, results: make(map[string]int)}
 	callers.ratePercent.Store(100)
 	for i := range max(1, play.Callers) {
 		callers.clients = append(callers.clients, &client{zone: play.Zones[i%len(play.Zones)].Zone, keeps: i%3 != 2, idle: make(map[string][]*connection)})
@@ -193,6 +194,8 @@
 	model   string
 	prefix  string
 	random  *rand.Rand
+	// crashingContent or crashingPart names what crashes the engines that run the task.
+	crashingContent, crashingPart string
 }
 
 // newTask returns a random task.
@@ -230,7 +233,9 @@
 	return task
 }
 
-// crash sends a request that crashes engines, again and again, until the context ends.
+// crash sends requests that crash engines, one after the other, until the context ends. They
+// have the same content if the number is even, and only one part of the prompt in common if
+// it is odd.
 func (callers *callers) crash(ctx context.Context, number int) {
 	callers.lock.Lock()
 	route := &callers.play.Routes[0]
@@ -242,10 +247,19 @@
 	task := callers.makeTask(route, fmt.Sprintf("crash%d", number))
 	callers.lock.Unlock()
 	task.content.Crashing = true
-	for range callers.play.CrashingRepeats {
+	if number%2 == 0 {
+		task.crashingContent = task.content.Task
+	} else {
+		task.crashingPart = fmt.Sprintf("%08x", 0xbad0+number)
+	}
+	for i := range callers.play.CrashingRepeats {
 		copied := task
 		copied.random = rand.New(rand.NewPCG(task.random.Uint64(), task.random.Uint64()))
 		copied.client = callers.clients[task.random.IntN(len(callers.clients))]
+		if task.crashingPart != "" {
+			copied.content.Task = fmt.Sprintf("%s.%d", task.content.Task, i)
+			copied.prefix = fmt.Sprintf("%s:90,%08x:60", task.crashingPart, copied.random.Uint32())
+		}
 		callers.running.Go(func() { callers.run(copied) })
 		pause(ctx, time.Duration(200+task.random.IntN(1200))*time.Millisecond)
 		if ctx.Err() != nil {
@@ -390,8 +404,8 @@
 		headers: callers.headers, recorder: callers.recorder, body: body, host: routeHost, path: routePrefix(task.route.Route) + "x",
 		gap: max(minGap, 4*time.Duration(task.route.ObjectiveMillis)*time.Millisecond),
 		record: Record{
-			Process: entry.name, Request: id, Task: task.content.Task, Service: task.route.Service, Kind: task.route.Kind, MaxAttempts: task.route.MaxAttempts,
-			DeadlineMillis: left.Milliseconds(), Crashing: task.content.Crashing,
+			Process: entry.name, Request: id, Task: task.content.Task, Service: callers.play.ServiceOf(task.route, int(callers.changes.Load())), Kind: task.route.Kind, MaxAttempts: task.route.MaxAttempts,
+			DeadlineMillis: left.Milliseconds(), Crashing: task.content.Crashing, Content: task.crashingContent, Part: task.crashingPart,
 		},
 		extra: map[string]string{callers.headers.Request: string(id), callers.headers.Deadline: strconv.FormatInt(left.Milliseconds(), 10)},
 	}
--- a/standin/rig/messages.go
+++ b/standin/rig/messages.go
@@ -77,9 +77,9 @@
 	Token    core.FencingToken
 }
 
-// Configuration is a configuration of the operator. Moved is the number of changes: each
-// changes the time limits of the routes and which plain service serves the safe ones.
+// Configuration is a configuration of the operator. Changes is the number of changes before
+// it: each changes the time limits of the routes and which plain service serves the safe ones.
 type Configuration struct {
-	Number core.ConfigNumber
-	Moved  int
+	Number  core.ConfigNumber
+	Changes int
 }
--- a/standin/rig/play.go
+++ b/standin/rig/play.go
@@ -29,9 +29,8 @@
 	// answers. The upstreams of a service take them in turn.
 	Versions []core.SoftwareVersion
 	Formats  []Format
-	// CrashingContents is the number of requests that crash engines. Each comes again
-	// CrashingRepeats times.
-	CrashingContents, CrashingRepeats int
+	// CrashingRepeats is how often requests that crash engines come.
+	CrashingRepeats int
 	// Faults are the weights of the kinds of faults, FaultMillis the mean time between two.
 	Faults      map[FaultKind]int
 	FaultMillis int
@@ -128,6 +127,25 @@
 
 func (play *Play) length() time.Duration { return time.Duration(play.Seconds) * time.Second }
 
+// ServiceOf returns the service of a route after a number of changes of the configuration:
+// each change moves the routes that are safe to another plain service.
+func (play *Play) ServiceOf(route *Route, changes int) core.ServiceID {
+	var plain []core.ServiceID
+	own := 0
+	for _, service := range play.Services {
+		if service.Service == route.Service {
+			own = len(plain)
+		}
+		if !service.Engine {
+			plain = append(plain, service.Service)
+		}
+	}
+	if route.Kind != Safe || len(plain) == 0 {
+		return route.Service
+	}
+	return plain[(own+changes)%len(plain)]
+}
+
 // engineService returns whether the upstreams of a service are engines.
 func (play *Play) engineService(service core.ServiceID) bool {
 	for _, candidate := range play.Services {
--- a/standin/rig/player.go
+++ b/standin/rig/player.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -51,7 +52,9 @@
 	callers   *callers
 	number    core.ConfigNumber
 	changes   int
-	begin     time.Time
+	// accepted is the number of changes in the newest configuration that was accepted.
+	accepted atomic.Int64
+	begin    time.Time
 	// lock guards the fields below; no other lock is acquired while it is held.
 	lock   sync.Mutex
 	ends   map[string]int // the times that a VM has ended by itself
@@ -142,7 +145,7 @@
 		pause(started, checkInterval/4)
 	}
 	player.log("ready: %d entry VMs", len(balancer.entries))
-	player.callers = newCallers(player.play, player.messages.Headers(), balancer, player.recorder, rand.New(rand.NewPCG(player.options.Seed, 2)))
+	player.callers = newCallers(player.play, player.messages.Headers(), balancer, player.recorder, &player.accepted, rand.New(rand.NewPCG(player.options.Seed, 2)))
 	faults := planFaults(player.play, player.members(), rand.New(rand.NewPCG(player.options.Seed, 3)))
 	sending, stopSending := context.WithTimeout(ctx, player.play.length())
 	defer stopSending()
@@ -175,7 +178,7 @@
 func (player *player) configure(ctx context.Context) error {
 	player.lock.Lock()
 	player.number += core.ConfigNumber(1 + player.random.IntN(5))
-	configuration := Configuration{Number: player.number, Moved: player.changes}
+	configuration := Configuration{Number: player.number, Changes: player.changes}
 	player.changes++
 	first := player.random.IntN(len(player.addresses))
 	player.lock.Unlock()
@@ -187,6 +190,7 @@
 	for i := first; ; i++ {
 		status, err := put(ctx, &client, "http://"+player.addresses[i%len(player.addresses)]+player.messages.Paths().Config, body)
 		if err == nil && status == http.StatusOK {
+			player.accepted.Store(max(player.accepted.Load(), int64(configuration.Changes)))
 			return nil
 		}
 		if ctx.Err() != nil {
