Let upstreams reset and reject many requests, and test the rig's own code

In the fault lose-answers all engines reset 45 of 100 requests that they run and reject 20 of 100 for some seconds.

--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -6,10 +6,12 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 )
 
@@ -27,7 +29,8 @@
 }
 
 // TestRelay guards against a relay that forwards data in a cut direction, that
-// loses it when the cut is healed, or that forwards the end of a silent connection.
+// loses it when the cut is healed, that forwards the end of a silent connection, or that
+// shows a reset as a normal end.
 func TestRelay(t *testing.T) {
 	datadriven.RunTest(t, "testdata/relay", func() func(*testing.T, *datadriven.TestData) string {
 		fixture := newFixture(t)
@@ -81,6 +84,8 @@
 		fixture.relay.Heal(nil)
 	case "silence":
 		return fmt.Sprintln(fixture.relay.Silence([]Direction{{Endpoint(names[0]), Endpoint(names[1])}}))
+	case "reset":
+		return fmt.Sprintln(fixture.relay.Reset([]Direction{{Endpoint(names[0]), Endpoint(names[1])}}))
 	}
 	return ""
 }
@@ -101,6 +106,9 @@
 	if err != nil && strings.Contains(err.Error(), "timeout") {
 		return "nothing\n"
 	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		return "reset\n"
+	}
 	if err != nil {
 		return err.Error() + "\n"
 	}
--- a/standin/rig/callers.go
+++ b/standin/rig/callers.go
@@ -261,7 +261,7 @@
 			copied.prefix = fmt.Sprintf("%s:90,%08x:60", task.crashingPart, copied.random.Uint32())
 		}
 		callers.running.Go(func() { callers.run(copied) })
-		pause(ctx, time.Duration(200+task.random.IntN(1200))*time.Millisecond)
+		pause(ctx, time.Duration(100+task.random.IntN(800))*time.Millisecond)
 		if ctx.Err() != nil {
 			return
 		}
--- a/standin/rig/faults.go
+++ b/standin/rig/faults.go
@@ -31,6 +31,7 @@
 	Silence        FaultKind = "silence" // open connections go silent, new ones work
 	Reset          FaultKind = "reset"   // open connections are reset
 	Delay          FaultKind = "delay"
+	LoseAnswers    FaultKind = "lose-answers" // all engines reset or reject many requests
 	Burst          FaultKind = "burst"
 	Change         FaultKind = "change" // of the configuration
 	Crash          FaultKind = "crash"  // a request that crashes engines
@@ -50,6 +51,7 @@
 	entries, controls []string
 	zones             [][]string // the VMs of each zone
 	upstreams         []string
+	engines           []string // the upstreams of the first service
 	relayed           []string // the upstreams behind the relay
 	tolerate          int
 	catchUp           time.Duration
@@ -127,6 +129,14 @@
 		fault.Targets = planner.some(planner.members.upstreams, 1+random.IntN(3), at)
 	case Cut, CutRequests, CutAnswers, Silence, Reset, Delay:
 		fault.Targets = planner.some(planner.members.relayed, 1+random.IntN(max(1, len(planner.members.relayed)/2)), at)
+	case LoseAnswers:
+		// Long enough for the repeats of a whole window of the budget.
+		fault.Length = min(2*length, last-at)
+		if planner.busy[string(kind)] <= at {
+			fault.Targets = planner.members.engines
+		}
+		planner.busy[string(kind)] = at + fault.Length
+		return fault, len(fault.Targets) > 0
 	case Burst, Change, Crash:
 		return fault, true
 	}
--- a/standin/rig/player.go
+++ b/standin/rig/player.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -239,6 +240,9 @@
 	}
 	for _, upstream := range player.upstreams {
 		members.upstreams = append(members.upstreams, upstream.Process)
+		if upstream.Service == player.play.Services[0].Service {
+			members.engines = append(members.engines, upstream.Process)
+		}
 		if _, ok := player.relayed[upstream.Process]; ok {
 			members.relayed = append(members.relayed, upstream.Process)
 		}
@@ -253,6 +257,11 @@
 		player.callers.ratePercent.Store(220)
 		pause(ctx, fault.Length)
 		player.callers.ratePercent.Store(100)
+	case LoseAnswers:
+		// The links to the upstreams and their processes are whole: this is no disruption.
+		player.signal(fault.Targets, BeginFaulty)
+		pause(ctx, fault.Length)
+		player.signal(fault.Targets, EndFaulty)
 	case Change:
 		limited, cancel := context.WithTimeout(ctx, startLimit)
 		defer cancel()
@@ -272,6 +281,12 @@
 	}
 }
 
+func (player *player) signal(targets []string, signal syscall.Signal) {
+	for _, target := range targets {
+		player.processes[target].signal(signal)
+	}
+}
+
 // disrupt disrupts one process for the length of the fault and records it.
 func (player *player) disrupt(ctx context.Context, target string, fault Fault) {
 	detail := string(fault.Kind)
--- a/standin/rig/upstream.go
+++ b/standin/rig/upstream.go
@@ -9,9 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -102,6 +105,29 @@
 	accepted uint64
 	token    core.FencingToken
 	leaving  bool
+	// faulty is set while the upstream resets and rejects many requests.
+	faulty atomic.Bool
+}
+
+// BeginFaulty and EndFaulty are the signals at which an upstream begins and ends to reset or
+// reject many requests.
+const (
+	BeginFaulty = syscall.SIGUSR1
+	EndFaulty   = syscall.SIGUSR2
+)
+
+// While an upstream is faulty it rejects rejectPercent of the requests, and resets the
+// connections of resetPercent instead of an answer.
+const (
+	rejectPercent = 20
+	resetPercent  = 45
+)
+
+// watchSignals sets faulty by the signals.
+func (upstream *upstream) watchSignals(signals <-chan os.Signal) {
+	for received := range signals {
+		upstream.faulty.Store(received == BeginFaulty)
+	}
 }
 
 // exitCrashed is the exit code of an upstream that was ended by a request or an order.
@@ -115,6 +141,10 @@
 		return errors.Wrap(err, "open the records of the upstream")
 	}
 	defer func() { _ = closeRecords() }()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, BeginFaulty, EndFaulty)
+	defer close(signals)
+	defer signal.Stop(signals)
 	listener, err := net.Listen("tcp", options.Listen)
 	if err != nil {
 		return errors.Wrap(err, "listen for requests")
@@ -126,6 +156,7 @@
 		adapters: make(map[core.AdapterID]core.Revision), pending: make(map[core.AdapterID]core.Revision),
 		uses: make(map[core.AdapterID]int), dropped: make(map[core.AdapterID]bool),
 	}
+	go upstream.watchSignals(signals)
 	go upstream.accept(listener)
 	upstream.announceUntilGone(ctx)
 	return nil
@@ -233,7 +264,12 @@
 		defer cancel()
 	}
 	status := http.StatusMisdirectedRequest
-	if !misdirected {
+	faulty := upstream.faulty.Load()
+	switch {
+	case misdirected:
+	case faulty && upstream.percent(rejectPercent):
+		status = http.StatusServiceUnavailable
+	default:
 		status = upstream.admit(ctx, adapter)
 	}
 	if status != 0 {
@@ -243,6 +279,10 @@
 	defer upstream.leave(adapter)
 	record.Run = upstream.nextRun()
 	write(Began, 0)
+	if faulty && upstream.percent(resetPercent) {
+		answer.linger(0)
+		return false
+	}
 	if content.Crashing {
 		// Time for the entry VM to see that the request is on its way, as an engine that
 		// prefills the prompt takes.
