Run the relay of an upstream in the process of the upstream

A relay in the player still accepted connections for an upstream whose process had crashed. The entry VMs then did not see that the process had ended, as they do on a network that resets connections to a port without a listener, and 12 engines in a row crashed from one part of a prompt. The relay now ends with its upstream and takes changes over HTTP.

--- a/standin/relay/control.go
+++ b/standin/relay/control.go
@@ -11,7 +11,7 @@
 // errEndOfStream is the read error of a connection that its peer closed normally.
 var errEndOfStream = io.EOF
 
-// Change is the JSON body of the control calls cut, silence and heal.
+// Change is the JSON body of the control calls cut, silence, reset and heal.
 type Change struct {
 	// From and To list endpoints; every pair of them is changed. "*" matches any
 	// endpoint.
@@ -36,7 +36,7 @@
 }
 
 // Handler returns the control interface: POST /v1/routes with a Route, and
-// POST /v1/cut, /v1/heal and /v1/silence with a Change.
+// POST /v1/cut, /v1/heal, /v1/silence and /v1/reset with a Change.
 func (relay *Relay) Handler() http.Handler {
 	router := chi.NewRouter()
 	router.Post("/v1/routes", func(writer http.ResponseWriter, request *http.Request) {
@@ -62,6 +62,7 @@
 	handle("/v1/cut", func(directions []Direction) int { relay.Cut(directions); return 0 })
 	handle("/v1/heal", func(directions []Direction) int { relay.Heal(directions); return 0 })
 	handle("/v1/silence", relay.Silence)
+	handle("/v1/reset", relay.Reset)
 	return router
 }
 
--- a/standin/rig/player.go
+++ b/standin/rig/player.go
@@ -21,7 +21,6 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
-	"github.com/dandelionring/dandelionring/standin/relay"
 )
 
 // Options are the options of a player.
@@ -42,12 +41,11 @@
 	options   Options
 	messages  DeploymentMessages
 	recorder  *Recorder
-	relay     *relay.Relay
+	links     *links
 	ports     Ports
 	addresses []string // of the control VMs for operators and upstreams
 	vms       []VM
 	upstreams []UpstreamOptions
-	relayed   map[string]relay.Route
 	processes map[string]*process
 	random    *rand.Rand
 	callers   *callers
@@ -81,7 +79,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	player := &player{
-		play: play, options: options, messages: messages, recorder: recorder, relay: relay.New(ctx), relayed: make(map[string]relay.Route),
+		play: play, options: options, messages: messages, recorder: recorder, links: &links{client: http.Client{Timeout: callTimeout}, controls: make(map[string]UpstreamOptions)},
 		processes: make(map[string]*process), random: rand.New(rand.NewPCG(options.Seed, 1)), ends: make(map[string]int), starts: make(map[string]int),
 	}
 	if err := player.layOut(); err != nil {
@@ -243,7 +241,7 @@
 		if upstream.Service == player.play.Services[0].Service {
 			members.engines = append(members.engines, upstream.Process)
 		}
-		if _, ok := player.relayed[upstream.Process]; ok {
+		if upstream.RelayControl != "" {
 			members.relayed = append(members.relayed, upstream.Process)
 		}
 	}
@@ -295,7 +293,6 @@
 	}
 	player.recorder.Write(Record{Event: Disrupted, Process: target, Detail: detail})
 	process := player.processes[target]
-	forward, back := relay.Direction{From: vmEndpoint, To: relay.Endpoint(target)}, relay.Direction{From: relay.Endpoint(target), To: vmEndpoint}
 	switch fault.Kind {
 	case FreezeEntry, FreezeControl, FreezeZone, FreezeUpstream:
 		process.freeze(ctx, fault.Length)
@@ -306,36 +303,21 @@
 	case StopUpstream:
 		process.stop(ctx, stopAllowance, fault.Length)
 	case Cut:
-		player.cut(ctx, fault.Length, forward, back)
+		player.links.cut(ctx, target, fault.Length, both)
 	case CutRequests:
-		player.cut(ctx, fault.Length, forward)
+		player.links.cut(ctx, target, fault.Length, requests)
 	case CutAnswers:
-		player.cut(ctx, fault.Length, back)
+		player.links.cut(ctx, target, fault.Length, answers)
 	case Silence:
-		player.relay.Silence([]relay.Direction{forward})
+		player.links.change(target, "/v1/silence", both)
 	case Reset:
-		player.relay.Reset([]relay.Direction{forward})
+		player.links.change(target, "/v1/reset", both)
 	case Delay:
-		route := player.relayed[target]
-		slow := route
-		slow.DelayMicros = int64(20_000 + len(target)*1000)
-		_, _ = player.relay.Add(slow)
-		pause(ctx, fault.Length)
-		_, _ = player.relay.Add(route)
+		player.links.slow(ctx, target, fault.Length)
 	}
 	player.recorder.Write(Record{Event: Restored, Process: target, Detail: detail})
 }
 
-func (player *player) cut(ctx context.Context, length time.Duration, directions ...relay.Direction) {
-	player.relay.Cut(directions)
-	pause(ctx, length)
-	player.relay.Heal(directions)
-}
-
-// vmEndpoint stands for all entry VMs and control VMs on the links to an upstream, since a
-// connection over loopback addresses does not show which process opened it.
-const vmEndpoint relay.Endpoint = "vms"
-
 // engineRestartDelay is the time after which an upstream that crashed starts again, and
 // vmRestartDelay the same for a VM.
 const (
@@ -432,7 +414,7 @@
 }
 
 // addUpstream adds the upstream with a number within its service. Every second one is
-// announced with an address of the relay.
+// reached through a relay.
 func (player *player) addUpstream(block *addressBlock, service Service, zone core.ZoneID, number int) error {
 	listen, err := block.address()
 	if err != nil {
@@ -449,14 +431,13 @@
 		options.Model = player.play.Model
 	}
 	if number%2 == 0 {
-		route := relay.Route{From: vmEndpoint, To: relay.Endpoint(options.Process), Target: listen}
-		if route.Listen, err = block.address(); err != nil {
+		if options.Address, err = block.address(); err != nil {
 			return err
 		}
-		if options.Address, err = player.relay.Add(route); err != nil {
-			return errors.Wrap(err, "open a route of the relay")
+		if options.RelayControl, err = block.address(); err != nil {
+			return err
 		}
-		player.relayed[options.Process] = route
+		player.links.controls[options.Process] = options
 	}
 	player.upstreams = append(player.upstreams, options)
 	player.processes[options.Process] = &process{
--- a/standin/rig/upstream.go
+++ b/standin/rig/upstream.go
@@ -50,8 +50,10 @@
 	Zone     core.ZoneID
 	Software core.SoftwareVersion
 	// Listen is the address on which the upstream listens, and Address the one that it
-	// announces.
-	Listen, Address string
+	// announces. If they differ, a relay in the same process forwards from Address to Listen,
+	// and takes changes at RelayControl: since it ends with the upstream, an entry VM sees
+	// that nothing listens there after a crash.
+	Listen, Address, RelayControl string
 	// Controls are the addresses of the control VMs.
 	Controls []string
 	// Model is the model of an engine, empty for a plain service.
@@ -156,6 +158,11 @@
 		adapters: make(map[core.AdapterID]core.Revision), pending: make(map[core.AdapterID]core.Revision),
 		uses: make(map[core.AdapterID]int), dropped: make(map[core.AdapterID]bool),
 	}
+	if options.Address != options.Listen {
+		if err := serveRelay(ctx, options); err != nil {
+			return errors.Wrap(err, "start the relay")
+		}
+	}
 	go upstream.watchSignals(signals)
 	go upstream.accept(listener)
 	upstream.announceUntilGone(ctx)
