Hand requests over from VMs that reach no upstream

Callers saw: 503, 502 or seconds of waiting at an entry VM that is partitioned from all upstreams, while other entry VMs reach them; also 503 at the other VMs, whose loads waited behind requests that could not be sent. Cause: nothing concluded from failures at several upstreams that the path is lost, and such a VM had nowhere else to send a request. Change: package reach decides from the results of connections whether a VM reaches the upstreams of a service: not one failure, but failures at three upstreams without an answer between them, which a probe confirms unless new connections time out. Package handover chooses another entry VM. Control VMs tell each entry VM of up to sixteen others. The request goes there as the caller sent it, with the time that is left and what was sent so far. The other VM says at once that it has begun, sends, records, counts and cancels it; it never hands it on, and declines if it reaches no upstream either. What was written to a VM that does not answer counts as run. After the heal one request is sent, then twice as many with each answer. Ended processes are no longer concluded from refused connections while all upstreams refuse, so that no sound content is convicted. Why it works: it needs one VM that reaches the upstreams and nothing of the load balancer, and is the same for one VM and for a whole zone.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -11,6 +11,7 @@
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
+	"github.com/dandelionring/dandelionring/pkg/policy/handover"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/policy/throttle"
 )
@@ -38,6 +39,10 @@
 	local bool
 	// control is set for a control VM, and not for an entry VM.
 	control bool
+	// handover is set for an entry VM that takes over requests of others, and offered holds
+	// those that it was sent last.
+	handover handover.Target
+	offered  []handover.Target
 	// revisionIndex is the log index of the last adapter revision that it was sent.
 	revisionIndex uint64
 	// signal holds one element while changes are pending.
@@ -82,6 +87,33 @@
 	return next
 }
 
+// offer notes that the VM of a subscriber takes over requests of other entry VMs.
+func (hub *hub) offer(subscriber *subscriber, target handover.Target) {
+	hub.lock.Lock()
+	defer hub.lock.Unlock()
+	subscriber.handover = target
+	hub.markAllDirty()
+}
+
+// takeOffers returns the entry VMs to which a subscriber may hand requests over, and false if
+// it was sent the same ones last.
+func (hub *hub) takeOffers(subscriber *subscriber) ([]handover.Target, bool) {
+	hub.lock.Lock()
+	defer hub.lock.Unlock()
+	var all []handover.Target
+	for other := range hub.subscribers {
+		if other.handover.Address != "" {
+			all = append(all, other.handover)
+		}
+	}
+	offers := handover.Offer(subscriber.handover, all)
+	if slices.Equal(offers, subscriber.offered) {
+		return nil, false
+	}
+	subscriber.offered = offers
+	return offers, true
+}
+
 func (hub *hub) remove(subscriber *subscriber) {
 	hub.lock.Lock()
 	defer hub.lock.Unlock()
@@ -212,6 +244,9 @@
 	local := core.ZoneID(request.GetZone()) == control.options.Zone
 	subscriber := control.hub.add(core.VMID(request.GetVm()), local, request.GetControl(), request.GetRevisionIndex())
 	defer control.hub.remove(subscriber)
+	if address := request.GetHandoverAddress(); address != "" {
+		control.hub.offer(subscriber, handover.Target{VM: core.VMID(request.GetVm()), Zone: core.ZoneID(request.GetZone()), Address: address})
+	}
 	delay := remoteDelay
 	if local {
 		delay = localDelay
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -248,11 +248,16 @@
 	}
 }
 
-// addState adds the replicated state, the control VMs and the number of entry VMs to an
-// event.
+// addState adds the replicated state, the control VMs, the number of entry VMs and those that
+// take requests over to an event.
 func (control *Control) addState(event *wire.WatchEvent, subscriber *subscriber) {
 	event.ControlVms = control.peers.messages(clock.Now())
 	event.EntryVms = uint32(control.hub.countEntryVMs())
+	if subscriber.handover.Address != "" {
+		if targets, changed := control.hub.takeOffers(subscriber); changed {
+			event.HandoverTargets = peer.HandoverTargetsMessage(targets)
+		}
+	}
 	replica, ok := control.options.Host.Replica(0)
 	if !ok {
 		return
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -49,6 +49,9 @@
 	Calls caller
 	// Changed is called after a new route table has taken effect.
 	Changed func(core.RouteTable)
+	// HandoverAddress is the address on which this VM takes over requests of other entry VMs,
+	// empty if it does not.
+	HandoverAddress string
 	// Controls is called with the control VMs after each change of them; it may be nil.
 	Controls func([]ControlVM)
 	Logger   *log.Logger
@@ -136,7 +139,7 @@
 	connected := false
 	for follower.ctx.Err() == nil {
 		request := &wire.Request{Body: &wire.Request_Watch{Watch: &wire.Watch{
-			Vm: string(follower.options.VM), Zone: string(follower.options.Zone),
+			Vm: string(follower.options.VM), Zone: string(follower.options.Zone), HandoverAddress: follower.options.HandoverAddress,
 		}}}
 		err := follower.options.Calls.Stream(follower.ctx, vm, request, func(response *wire.Response) bool {
 			first := !connected
@@ -201,6 +204,9 @@
 	if event.GetEntryVms() > 0 {
 		table.SetEntryVMs(int(event.GetEntryVms()))
 	}
+	if message := event.GetHandoverTargets(); message != nil {
+		table.SetHandoverTargets(vm, peer.HandoverTargetsFromMessage(message))
+	}
 	if number := core.ConfigNumber(event.GetRoutesNumber()); number > table.RoutesNumber() {
 		follower.startFetch(vm, number)
 	}
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/handover"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
@@ -56,6 +57,9 @@
 	revisions map[core.WeightKey]core.Revision
 	owners    map[core.ZoneID]Owner
 	entryVMs  int
+	// handoverTargets holds the entry VMs that take requests over, by the control VM that
+	// stated them.
+	handoverTargets map[core.VMID][]handover.Target
 	// sendCounts counts the requests sent since the last report to the owner of a zone.
 	sendCounts map[core.ZoneID]map[ServiceKey]int
 	// changedZones holds the zones in which a request has begun or ended since the last
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -75,7 +75,7 @@
 func (call *call) newRecord(event audit.Event, selection fleet.Selection) audit.Record {
 	record := audit.Record{
 		At: time.Now().UnixMilli(), Event: event, Request: call.request.ID,
-		Attempt: core.AttemptID(string(call.request.ID) + "/" + strconv.Itoa(len(call.tried))),
+		Attempt: core.AttemptID(string(call.request.ID) + "/" + strconv.Itoa(call.attemptNumber())),
 		Config:  call.tableNumber, Route: call.route.Name, Service: call.service, Upstream: selection.Upstream, Zone: selection.Zone,
 	}
 	if call.route.Kind == core.Stream && event == audit.EventStart {
@@ -89,3 +89,7 @@
 	}
 	return record
 }
+
+// attemptNumber returns the number of the current attempt, counted over the VMs that have had the
+// request.
+func (call *call) attemptNumber() int { return call.attemptsBefore + len(call.tried) }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -11,7 +11,9 @@
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/conviction"
+	"github.com/dandelionring/dandelionring/pkg/policy/reach"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
+	"github.com/dandelionring/dandelionring/pkg/policy/route"
 )
 
 // call is the state of one request of a caller while it is forwarded.
@@ -21,7 +23,8 @@
 	incoming *http.Request
 	request  Request
 	route    *core.Route
-	// tableNumber is the number of the route table that contains route.
+	// index is the index of the route table that contains route, and tableNumber its number.
+	index       *route.Index
 	tableNumber core.ConfigNumber
 	service     core.ServiceID
 	maxConns    int
@@ -35,6 +38,16 @@
 	deadline time.Time
 	counts   retry.SendCounts
 	tried    []core.UpstreamID
+	// prepared is set once the request may be sent, counted once it is counted in the retry
+	// budget of a VM, and paid while the next send is taken from one.
+	prepared, counted, paid bool
+	// takenOver is set if another entry VM has handed the request over. That VM has made
+	// sendsBefore sends, and its attempts have numbers up to attemptsBefore.
+	takenOver                   bool
+	sendsBefore, attemptsBefore int
+	// needsOpen is set if no open connection is left while new ones fail, and dialAnyway once
+	// no other VM has taken the request over for that.
+	needsOpen, dialAnyway bool
 	// committed is set once the response head has been sent to the caller.
 	committed bool
 	// lastEvent is the ID of the last event that was sent to the caller, or that the
@@ -108,36 +121,31 @@
 			reason, call.retryAfter = "the content of the request crashes upstreams", left
 			break
 		}
-		if reason = call.cannotContinue(); reason != "" {
-			break
-		}
-		selection, why, ok := call.chooseAdmitted(ctx)
-		if !ok {
-			reason = why
-			break
-		}
-		first := call.counts.Sends == 0
-		if !first && !call.gateway.allowRetry(call.service) {
-			call.gateway.options.Table.Finish(selection)
-			reason = "the budget of repeated sends is used up"
-			break
-		}
-		call.tried = append(call.tried, selection.Upstream)
-		if err := call.recordStart(ctx, selection); err != nil {
-			call.gateway.options.Table.Finish(selection)
-			reason = err.Error()
-			break
+		service := call.service
+		state, turn := call.gateway.paths.enter(service)
+		if state == reach.Cut || call.needsOpen {
+			call.gateway.paths.leave(service, turn)
+			runs := call.counts.Runs
+			if call.leaveToOthers(ctx) == finished {
+				return
+			}
+			if reason = noPath; call.counts.Runs > runs {
+				reason = handoverLost
+			}
+			if !call.needsOpen || call.counts.Runs > 0 && !retry.Allowed(call.route, call.counts) {
+				break
+			}
+			reason = ""
+			call.needsOpen, call.dialAnyway = false, true
+			continue
 		}
-		runs := call.counts.Runs
-		next := call.send(ctx, selection)
-		call.recordEnd(selection, runs)
-		call.gateway.options.Table.Finish(selection)
+		next, why := call.sendOnce(ctx, state)
+		call.gateway.paths.leave(service, turn)
 		if next == finished {
 			requestCounts.Inc(call.kind().String(), "answered")
 			return
 		}
-		if !retry.Allowed(call.route, call.counts) {
-			reason = "the route allows no further send"
+		if reason = why; reason != "" {
 			break
 		}
 	}
@@ -150,6 +158,63 @@
 	call.answerFailure(ctx, reason)
 }
 
+// The reasons why a request ends at a VM that reaches no upstream of the service: no other VM takes
+// it over, or one has and did not answer.
+const (
+	noPath       = "no upstream of the service can be reached"
+	handoverLost = "the VM that took the request over did not answer"
+)
+
+// leaveToOthers hands the request over to another VM, or back to the one that has handed it over.
+func (call *call) leaveToOthers(ctx context.Context) nextStep {
+	if !call.takenOver {
+		next := call.handOver(ctx)
+		if next == finished {
+			requestCounts.Inc(call.kind().String(), "handed over")
+		}
+		return next
+	}
+	if call.counts.Sends > call.sendsBefore {
+		return tryAnother
+	}
+	call.decline()
+	return finished
+}
+
+// sendOnce chooses an upstream and sends the request to it. It returns tryAnother and a reason
+// if no further send is possible or allowed.
+func (call *call) sendOnce(ctx context.Context, state reach.State) (nextStep, string) {
+	if reason := call.prepare(); reason != "" {
+		return tryAnother, reason
+	}
+	if reason := call.cannotContinue(); reason != "" {
+		return tryAnother, reason
+	}
+	selection, reason, ok := call.chooseAdmitted(ctx)
+	if !ok {
+		return tryAnother, reason
+	}
+	first := call.counts.Sends == 0 || call.paid
+	call.paid = false
+	if !first && !call.gateway.allowRetry(call.service) {
+		call.gateway.options.Table.Finish(selection)
+		return tryAnother, "the budget of repeated sends is used up"
+	}
+	call.tried = append(call.tried, selection.Upstream)
+	if err := call.recordStart(ctx, selection); err != nil {
+		call.gateway.options.Table.Finish(selection)
+		return tryAnother, err.Error()
+	}
+	runs := call.counts.Runs
+	next := call.send(ctx, selection, state == reach.Kept && !call.dialAnyway)
+	call.recordEnd(selection, runs)
+	call.gateway.options.Table.Finish(selection)
+	if next == tryAnother && !retry.Allowed(call.route, call.counts) {
+		return tryAnother, "the route allows no further send"
+	}
+	return next, ""
+}
+
 // refusedContent returns true and the time until the refusal ends if the content of the
 // request crashes upstreams. It is checked before each send, since the verdict may come
 // while the request is retried.
@@ -182,7 +247,7 @@
 		return selection, heldBack, false
 	}
 	if query.Weights.Model == "" {
-		return selection, "no upstream of the service can be reached", ok
+		return selection, noPath, ok
 	}
 	excluded := query
 	if ok {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -38,6 +38,14 @@
 	LastEvent string
 }
 
+// Resumption names the stream that a request continues.
+type Resumption struct {
+	// LastEvent is the ID of the last event that the caller has received, empty for a new
+	// stream, and Origin the request whose answer brought the first one.
+	LastEvent string
+	Origin    core.RequestID
+}
+
 // ResponseInfo holds what the head of an upstream's response states.
 type ResponseInfo struct {
 	// Identified is set if the response states to which request it belongs, and Foreign if
@@ -70,6 +78,10 @@
 	// Headers returns the headers of a send: those of the caller that are forwarded, and
 	// those that the gateway adds.
 	Headers(caller http.Header, send Send) http.Header
+	// HandoverHeaders returns the headers with which a request is handed over to another entry
+	// VM: those of the caller, with the time that is left and the stream that the request
+	// continues.
+	HandoverHeaders(caller http.Header, left time.Duration, resume Resumption) http.Header
 	// Classify reads the head of an upstream's response to a request.
 	Classify(response *http.Response, request Request) ResponseInfo
 	// SetRefusalHeaders adds headers to a response that the gateway itself generates.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,9 @@
 	bodies h1.Memory
 	copies copyRequester
 	losses lossWatch
+	// paths knows which upstreams this VM reaches, and handovers the VMs that take requests over.
+	paths     paths
+	handovers handoverTable
 	// stopping is the planned end of the process.
 	stopping stopping
 	// begun holds the origins of the streams that began on this VM.
@@ -109,20 +112,32 @@
 	gateway.stopping.ended, gateway.stopping.end = context.WithCancel(context.Background())
 	closeCopies := gateway.copies.start(options.Placer)
 	closeLosses := gateway.losses.start(gateway)
+	closePaths := gateway.paths.start(gateway)
 	return gateway, func() {
 		closeCopies()
 		closeLosses()
+		closePaths()
+		gateway.handovers.conns.Close()
 		gateway.stopping.end()
 		gateway.conns.Close()
 	}
 }
 
 // CloseIdle closes the connections that have been idle for as long as their upstreams allow.
-func (gateway *Gateway) CloseIdle(now time.Time) { gateway.conns.CloseExpired(now) }
+func (gateway *Gateway) CloseIdle(now time.Time) {
+	gateway.conns.CloseExpired(now)
+	gateway.handovers.conns.CloseExpired(now)
+}
 
 // ServeHTTP forwards one request of a caller and writes the response.
 func (gateway *Gateway) ServeHTTP(writer http.ResponseWriter, incoming *http.Request) {
 	call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now()}
+	call.serve()
+}
+
+// serve forwards the request and writes the response.
+func (call *call) serve() {
+	gateway, incoming := call.gateway, call.incoming
 	call.request = gateway.options.Dialect.Parse(incoming)
 	memory, release := gateway.bodies.Reserve()
 	defer release()
@@ -136,7 +151,7 @@
 		call.refuse(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is over the limit")
 		return
 	}
-	call.tableNumber = index.Table().Number
+	call.index, call.tableNumber = index, index.Table().Number
 	call.route = index.Match(incoming.Host, incoming.URL.Path)
 	if call.route == nil {
 		call.refuse(http.StatusNotFound, "no route matches")
@@ -147,18 +162,31 @@
 	}
 	call.traits = conviction.NewRequest(call.fingerprint(), call.request.Parts)
 	call.service = route.SelectTarget(call.route, string(call.request.ID))
+	call.run()
+}
+
+// prepare finds the service that may continue the stream of the request and counts the request
+// in the retry budget, before the first send. It returns the reason if the request must not be
+// sent.
+func (call *call) prepare() string {
+	if call.prepared {
+		return ""
+	}
 	if call.continues() {
 		if reason := call.adoptOrigin(); reason != "" {
-			gateway.options.Logger.Info("A stream is not continued.", "request", call.request.ID, "origin", call.request.Origin, "last_event", call.request.LastEvent, "reason", reason)
-			call.refuse(http.StatusServiceUnavailable, reason)
-			return
+			call.gateway.options.Logger.Info("A stream is not continued.", "request", call.request.ID, "origin", call.request.Origin, "last_event", call.request.LastEvent, "reason", reason)
+			return reason
 		}
 	}
-	if spec, ok := index.Table().Service(call.service); ok {
+	call.prepared = true
+	if spec, ok := call.index.Table().Service(call.service); ok {
 		call.maxConns = spec.MaxConns
 	}
-	gateway.countRequest(call.service)
-	call.run()
+	if !call.counted {
+		call.counted = true
+		call.gateway.countRequest(call.service)
+	}
+	return ""
 }
 
 const (
--- /dev/null
+++ b/internal/gateway/handover_test.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/handover"
+	"github.com/dandelionring/dandelionring/pkg/policy/reach"
+	"github.com/dandelionring/dandelionring/pkg/policy/retry"
+)
+
+// TestHandover guards against a request that runs twice, is refused although it may have run, or
+// is refused although another VM could send it, when its VM reaches no upstream.
+func TestHandover(t *testing.T) {
+	datadriven.Walk(t, "testdata/handovers", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
+			return runHandover(t, data)
+		})
+	})
+}
+
+// runHandover sends one request to a VM that reaches no upstream. The argument targets holds what
+// the other VMs do, the one of which requests are handed over first in front. The input holds the
+// responses of the upstreams as in runCase.
+func runHandover(t *testing.T, data *datadriven.TestData) string {
+	upstreams := &scriptedUpstreams{}
+	for part := range strings.SplitSeq(data.Input+"\n", "--\n") {
+		if part = strings.TrimSuffix(part, "\n"); part != "" {
+			upstreams.answers = append(upstreams.answers, strings.ReplaceAll(part, `\n`, "\n"))
+		}
+	}
+	kind, attempts, patience := "idempotent", 2, 3000
+	records := &memoryRecorder{}
+	var targets []handover.Target
+	var hurries []string // the time that callers of earlier requests wait, in milliseconds
+	for _, arg := range data.CmdArgs {
+		switch arg.Key {
+		case "kind":
+			kind = arg.Vals[0]
+		case "attempts":
+			attempts, _ = strconv.Atoi(arg.Vals[0])
+		case "patience":
+			patience, _ = strconv.Atoi(arg.Vals[0])
+		case "hurries":
+			hurries = arg.Vals
+		case "targets":
+			for i, does := range arg.Vals {
+				// Each VM of another zone has the cost of some requests more.
+				target := handover.Target{VM: core.VMID(strconv.Itoa(i) + does), Zone: core.ZoneID([]string{"z", "y"}[min(i, 1)])}
+				target.Address = startTarget(t, does, routedTable(upstreams, t, kind, attempts), records)
+				targets = append(targets, target)
+			}
+		}
+	}
+	table := routedTable(&scriptedUpstreams{}, t, kind, attempts)
+	table.SetHandoverTargets("control", targets)
+	gateway, closeGateway := New(handoverOptions(table, records))
+	t.Cleanup(closeGateway)
+	cutPath(gateway)
+	server := httptest.NewServer(gateway)
+	defer server.Close()
+	text := ""
+	for _, hurried := range hurries {
+		text += sendRequest(server, "r0", map[string]string{"Patience": hurried})
+	}
+	text += sendRequest(server, "r1", map[string]string{"Patience": strconv.Itoa(patience)})
+	text += upstreams.sends()
+	records.lock.Lock()
+	defer records.lock.Unlock()
+	for _, line := range records.lines {
+		text += line + "\n"
+	}
+	return text
+}
+
+// routedTable returns a table with a route of the given kind and three upstreams.
+func routedTable(upstreams *scriptedUpstreams, t *testing.T, kind string, attempts int) *fleet.Table {
+	kinds := map[string]core.RouteKind{"idempotent": core.Idempotent, "non-idempotent": core.NonIdempotent, "stream": core.Stream, "resumable": core.Stream}
+	table := upstreams.start(t, 3)
+	table.SetRoutes(core.RouteTable{Number: 1, Routes: []core.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kinds[kind], Resumable: kind == "resumable", Timeout: 4 * time.Second, MaxAttempts: attempts,
+		Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
+	}}, Services: []core.ServiceSpec{{Service: "s"}}})
+	return table
+}
+
+func handoverOptions(table *fleet.Table, records *memoryRecorder) Options {
+	return Options{Table: table, Dialect: testDialect{}, Recorder: records, Repeats: retry.Limits{Ratio: 1, Extra: 50, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
+}
+
+// cutPath makes a gateway believe that it reaches no upstream of the service. It does not probe.
+func cutPath(gateway *Gateway) {
+	gateway.paths.update("s", func(path *path) {
+		path.probing = true
+		for _, upstream := range []core.UpstreamID{"u0", "u1", "u2"} {
+			path.Failed(clock.Now(), reach.Failure{Upstream: upstream, Kind: reach.TimedOut, Began: clock.Now(), Known: 3})
+		}
+	})
+}
+
+// startTarget starts another VM that does what the name says, and returns its address.
+func startTarget(t *testing.T, does string, table *fleet.Table, records *memoryRecorder) string {
+	switch does {
+	case "serves", "cut", "stops", "slow":
+		gateway, closeGateway := New(handoverOptions(table, records))
+		t.Cleanup(closeGateway)
+		if does == "cut" {
+			cutPath(gateway)
+		}
+		if does == "stops" {
+			t.Cleanup(gateway.Stop(time.Now(), time.Now().Add(time.Minute)))
+		}
+		handler := gateway.Takeover()
+		if does == "slow" {
+			handler = delayed(handler)
+		}
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		return server.Listener.Addr().String()
+	default:
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if does == "down" {
+			listener.Close()
+			return listener.Addr().String()
+		}
+		t.Cleanup(func() { listener.Close() })
+		go serveFault(listener, does)
+		return listener.Addr().String()
+	}
+}
+
+// delayed begins with each request after a time in which a VM does not count as standing still, and
+// not if the first VM has given it up meanwhile.
+func delayed(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, err := io.ReadAll(request.Body)
+		<-time.After(acceptTimeout / 2)
+		if err != nil || request.Context().Err() != nil {
+			return
+		}
+		request.Body = io.NopCloser(bytes.NewReader(body))
+		handler.ServeHTTP(writer, request)
+	})
+}
+
+// faults holds what the VMs that do not work send before they close the connection.
+var faults = map[string]string{
+	"ends":        "",
+	"accepts":     "HTTP/1.1 102 Processing\r\n\r\n",
+	"breaks":      "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nSigned: 1\r\nContent-Length: 10\r\n\r\nok",
+	"breaks-late": "HTTP/1.1 200 OK\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n",
+}
+
+// serveFault reads requests and answers them as a VM that does not work. One that stands still
+// answers nothing.
+func serveFault(listener net.Listener, does string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			if does == "still" {
+				_, _ = io.Copy(io.Discard, conn)
+			}
+			_, _ = io.WriteString(conn, faults[does])
+		}()
+	}
+}
--- a/internal/gateway/loss.go
+++ b/internal/gateway/loss.go
@@ -40,6 +40,7 @@
 // loss holds the requests that were lost at one upstream process.
 type loss struct {
 	at       time.Time
+	service  core.ServiceID
 	requests []core.RequestID
 	// suspects holds those that the upstream had not begun to answer, or had just begun to.
 	suspects []conviction.Request
@@ -78,7 +79,7 @@
 		if len(watch.pending) >= maxLosses || watch.ctx.Err() != nil {
 			return
 		}
-		current = &loss{at: time.Now()}
+		current = &loss{at: time.Now(), service: attempt.call.service}
 		watch.pending[attempt.key] = current
 		watch.running.Go(func() { watch.check(attempt.selection, attempt.key) })
 	}
@@ -117,6 +118,9 @@
 		watch.gateway.conns.Drop(key, conn)
 		endedUpstreams.Inc("alive", unanswered)
 		logger.Info("An upstream closed connections but still accepts new ones.", "upstream", key.Upstream, "requests", len(lost.requests))
+	case errors.Is(err, syscall.ECONNREFUSED) && watch.gateway.paths.failing(lost.service):
+		endedUpstreams.Inc("not reached", unanswered)
+		logger.Info("An upstream refuses connections, as all others do.", "upstream", key.Upstream, "requests", len(lost.requests))
 	case errors.Is(err, syscall.ECONNREFUSED):
 		endedUpstreams.Inc("ended", unanswered)
 		watch.gateway.options.Table.MarkEnded(selection)
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -125,5 +125,5 @@
 // request.
 func (attempt *attempt) noteBeginning() {
 	call := attempt.call
-	call.gateway.begun.add(call.request.ID, origin.Origin{Service: call.service, Software: attempt.selection.Software, Send: len(call.tried)})
+	call.gateway.begun.add(call.request.ID, origin.Origin{Service: call.service, Software: attempt.selection.Software, Send: call.attemptNumber()})
 }
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -51,6 +51,16 @@
 	return header
 }
 
+func (testDialect) HandoverHeaders(caller http.Header, left time.Duration, resume Resumption) http.Header {
+	header := EndToEnd(caller)
+	header.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
+	if resume.LastEvent != "" {
+		header.Set("Last", resume.LastEvent)
+		header.Set("Origin", string(resume.Origin))
+	}
+	return header
+}
+
 func (testDialect) Classify(response *http.Response, request Request) ResponseInfo {
 	id := response.Header.Get("Id")
 	rate, err := strconv.ParseFloat(response.Header.Get("Limit"), 64)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,7 @@
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/reach"
 )
 
 // answer is a complete response of an upstream.
@@ -38,6 +39,9 @@
 // connection that has carried an earlier request.
 var errUnidentified = errors.New("the response on a reused connection names no request")
 
+// errPathLost reports that no connection was opened since this VM reaches no upstream.
+var errPathLost = errors.New("the path to the upstreams was lost")
+
 // attempt is one send to one upstream.
 type attempt struct {
 	call      *call
@@ -46,6 +50,9 @@
 	conn      *h1.Conn
 	// events is the number of events that the caller has received from this send.
 	events int
+	// heardAt is the time at which the request was sent, or at which the last bytes of the
+	// upstream have arrived.
+	heardAt time.Duration
 	// release ends the time in which the send is cancelled if its content is convicted.
 	release func()
 }
@@ -72,19 +79,24 @@
 	return ok
 }
 
-// send sends the request to one upstream and forwards its response.
-func (call *call) send(ctx context.Context, selection fleet.Selection) nextStep {
+// send sends the request to one upstream and forwards its response. If onlyOpen is set, it opens
+// no connection.
+func (call *call) send(ctx context.Context, selection fleet.Selection, onlyOpen bool) nextStep {
 	attempt := &attempt{call: call, selection: selection, key: h1.Key{Upstream: selection.Upstream, Born: selection.Born, Address: selection.Address}}
 	limit := 0
 	if call.maxConns > 0 {
 		limit = max(1, call.maxConns/call.gateway.options.Table.EntryVMs())
 	}
-	conn, err := attempt.connect(ctx, limit)
+	conn, err := attempt.connect(ctx, limit, onlyOpen)
+	if errors.Is(err, h1.ErrNoIdle) || errors.Is(err, errPathLost) {
+		call.needsOpen = errors.Is(err, h1.ErrNoIdle)
+		return tryAnother
+	}
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, h1.ErrExhausted) {
 			attempt.observe(fleet.Unreachable)
 		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if errors.Is(err, syscall.ECONNREFUSED) && !call.gateway.paths.failing(call.service) {
 			call.gateway.options.Table.MarkEnded(attempt.selection)
 		}
 		attempt.log("no connection", err)
@@ -109,9 +121,31 @@
 // connect returns a connection to the upstream. One that has carried a response to a request
 // with the same ID is replaced by a new one: callers may send an ID again, and an upstream that
 // sends the earlier response once more would answer the second request with it.
-func (attempt *attempt) connect(ctx context.Context, limit int) (*h1.Conn, error) {
+func (attempt *attempt) connect(ctx context.Context, limit int, onlyOpen bool) (*h1.Conn, error) {
 	pool := &attempt.call.gateway.conns
-	conn, err := pool.Get(ctx, attempt.key, limit)
+	conn, err := pool.GetIdle(attempt.key)
+	if err == nil && !conn.HasAnswered(string(attempt.call.request.ID)) {
+		return conn, nil
+	}
+	answered := err == nil
+	if answered {
+		pool.Drop(attempt.key, conn)
+	}
+	if onlyOpen {
+		return nil, h1.ErrNoIdle
+	}
+	dialling, free := attempt.call.gateway.paths.whileReached(ctx, attempt.call.service)
+	defer free()
+	began := clock.Now()
+	if answered {
+		conn, err = pool.Dial(dialling, attempt.key)
+	} else {
+		conn, err = pool.Get(dialling, attempt.key, limit)
+	}
+	if err != nil && dialling.Err() != nil && ctx.Err() == nil {
+		return nil, errPathLost
+	}
+	attempt.noteDial(ctx, began, conn, err)
 	if err != nil || !conn.HasAnswered(string(attempt.call.request.ID)) {
 		return conn, err
 	}
@@ -119,6 +153,25 @@
 	return pool.Dial(ctx, attempt.key)
 }
 
+// noteDial notes whether a connection was opened.
+func (attempt *attempt) noteDial(ctx context.Context, began time.Duration, conn *h1.Conn, err error) {
+	paths, service := &attempt.call.gateway.paths, attempt.call.service
+	switch {
+	case err == nil:
+		if !conn.Used() {
+			paths.opened(service)
+		}
+	case ctx.Err() == nil && !errors.Is(err, h1.ErrExhausted):
+		paths.failed(service, attempt.selection.Upstream, dialFailure(err), began)
+	}
+}
+
+// heard notes that bytes of the upstream have arrived.
+func (attempt *attempt) heard() {
+	attempt.heardAt = clock.Now()
+	attempt.call.gateway.paths.answered(attempt.call.service)
+}
+
 // observe reports the result of the send to the table of upstreams.
 func (attempt *attempt) observe(result fleet.RequestResult) {
 	attempt.call.gateway.options.Table.Observe(clock.Now(), attempt.selection, result)
@@ -173,6 +226,7 @@
 func (attempt *attempt) exchange(ctx context.Context) nextStep {
 	call := attempt.call
 	call.counts.Sends++
+	attempt.heardAt = clock.Now()
 	if _, err := attempt.conn.Send(attempt.requestHead(), call.body); err != nil {
 		// The upstream may have received part of the request, and may have run it even if
 		// its body is incomplete.
@@ -225,6 +279,9 @@
 	case ctx.Err() == nil:
 		attempt.observe(fleet.Unreachable)
 		attempt.log(event, err)
+		if showsLoss(err) {
+			attempt.call.gateway.paths.failed(attempt.call.service, attempt.selection.Upstream, reach.Lost, attempt.heardAt)
+		}
 		if closedByUpstream(err) {
 			attempt.call.gateway.losses.add(attempt)
 		}
@@ -247,6 +304,7 @@
 		if err != nil {
 			return nil, ResponseInfo{}, err
 		}
+		attempt.heard()
 		info := call.gateway.options.Dialect.Classify(response, call.request)
 		if !info.Foreign && !info.Identified && attempt.conn.Reused() {
 			return nil, ResponseInfo{}, errUnidentified
@@ -335,25 +393,5 @@
 		Upstream: attempt.selection.Upstream, Left: time.Until(call.deadline), Rank: call.route.Rank,
 		Revision: attempt.selection.Revision, LastEvent: call.lastEvent,
 	})
-	head := make([]byte, 0, 1024+len(call.body))
-	head = append(head, call.incoming.Method...)
-	head = append(head, ' ')
-	head = append(head, call.incoming.RequestURI...)
-	head = append(head, " HTTP/1.1\r\nHost: "...)
-	head = append(head, call.incoming.Host...)
-	head = append(head, "\r\n"...)
-	for name, values := range header {
-		for _, value := range values {
-			head = append(head, name...)
-			head = append(head, ": "...)
-			head = append(head, value...)
-			head = append(head, "\r\n"...)
-		}
-	}
-	if len(call.body) > 0 || call.incoming.Method == http.MethodPost || call.incoming.Method == http.MethodPut {
-		head = append(head, "Content-Length: "...)
-		head = strconv.AppendInt(head, int64(len(call.body)), 10)
-		head = append(head, "\r\n"...)
-	}
-	return append(head, "\r\n"...)
+	return requestHead(call.incoming, header, len(call.body))
 }
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -34,6 +34,13 @@
 	return func() { timer.Stop() }
 }
 
+// announced reports whether Stop was called.
+func (stopping *stopping) announced() bool {
+	stopping.lock.Lock()
+	defer stopping.lock.Unlock()
+	return !stopping.endsAt.IsZero()
+}
+
 // limit returns the time limit of a request that arrives now and has the given one. It returns
 // false if the request must be refused.
 func (stopping *stopping) limit(now, deadline time.Time) (time.Time, bool) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -33,6 +33,9 @@
 	chunk := make([]byte, readSize)
 	for {
 		count, err := response.Body.Read(chunk)
+		if count > 0 {
+			attempt.heard()
+		}
 		whole, overBound := splitter.split(chunk[:count])
 		if len(whole) > 0 {
 			if !attempt.forwardEvents(response, whole) {
--- /dev/null
+++ b/internal/gateway/takeover.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Takeover returns the handler for requests that other entry VMs hand over to this one. Such a
+// request is not handed over once more.
+func (gateway *Gateway) Takeover() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, incoming *http.Request) {
+		call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now(), takenOver: true}
+		if !call.adoptCounts(incoming.Header.Get(handoverHeader)) {
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		incoming.Header.Del(handoverHeader)
+		if gateway.options.Table.Routes() == nil || gateway.stopping.announced() {
+			call.decline()
+			return
+		}
+		// The first VM learns at once that this one does not stand still.
+		writer.WriteHeader(http.StatusProcessing)
+		call.serve()
+	})
+}
+
+// maxAttemptsBefore bounds the attempts that a VM states to have made.
+const maxAttemptsBefore = 10000
+
+// adoptCounts sets what the first VM did with the request from the value of handoverHeader. It
+// returns false if the value is not valid.
+func (call *call) adoptCounts(value string) bool {
+	counts, attempts := &call.counts, &call.attemptsBefore
+	if _, err := fmt.Sscan(value, &counts.Sends, &counts.Runs, &call.counted, &call.paid, attempts); err != nil {
+		return false
+	}
+	call.sendsBefore = counts.Sends
+	return counts.Runs >= 0 && counts.Sends >= counts.Runs && *attempts >= 0 && max(counts.Sends, *attempts) <= maxAttemptsBefore
+}
+
+// decline answers that this VM has not sent the request to an upstream and does not reach any.
+func (call *call) decline() {
+	handovers.Inc("to", "declined")
+	call.writer.Header().Set(declinedHeader, "1")
+	call.writer.Header().Set("Content-Length", "0")
+	call.writer.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -85,6 +85,9 @@
 // then may a response arrive that belongs to an earlier request.
 func (conn *Conn) Reused() bool { return conn.requests > 1 }
 
+// Used reports whether a request was sent on the connection.
+func (conn *Conn) Used() bool { return conn.requests > 0 }
+
 // SetUserTimeout sets TCP_USER_TIMEOUT on a socket of a client or a server, so that the
 // connection is closed if the peer does not acknowledge data. It fits the Control fields
 // of net.Dialer and net.ListenConfig.
@@ -162,6 +165,21 @@
 	return sent + len(body), nil
 }
 
+// AwaitResponse waits until the first byte of a response has arrived, at most for the given
+// time. It returns an error that wraps os.ErrDeadlineExceeded if none has.
+func (conn *Conn) AwaitResponse(limit time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return errors.Wrap(err, "set the deadline of a response")
+	}
+	if _, err := conn.reader.Peek(1); err != nil {
+		return errors.Wrap(err, "await response")
+	}
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return errors.Wrap(err, "clear the deadline of a response")
+	}
+	return nil
+}
+
 // ReadResponse reads the head of the response to a request with the given method. It skips
 // up to maxInformational informational responses other than 101. The body must be read to
 // its end before the next request. It returns a *BoundError if the head is over a bound.
--- a/internal/h1/pool.go
+++ b/internal/h1/pool.go
@@ -40,25 +40,38 @@
 	dialled   uint64
 }
 
+// ErrNoIdle is returned by GetIdle if no connection to the upstream is idle.
+var ErrNoIdle = errors.New("no connection to the upstream is idle")
+
 // Get returns a connection to an upstream: an idle one, or a new one if fewer than limit
 // are open. It returns ErrExhausted at the limit; a limit of 0 means none. It closes and
 // skips idle connections that the upstream has closed or may soon close, because a request
 // that fails on such a connection may not be safe to send again.
 func (pool *Pool) Get(ctx context.Context, key Key, limit int) (*Conn, error) {
+	conn, err := pool.takeIdle(key, limit, true)
+	if err != nil || conn != nil {
+		return conn, err
+	}
+	return pool.dialCounted(ctx, key)
+}
+
+// GetIdle returns an idle connection to an upstream like Get. It returns ErrNoIdle if there is
+// none.
+func (pool *Pool) GetIdle(key Key) (*Conn, error) { return pool.takeIdle(key, 0, false) }
+
+// takeIdle returns an idle connection that may be used. If there is none, it returns nil and
+// counts a new connection, which must be dialled, or ErrNoIdle if dialNew is not set.
+func (pool *Pool) takeIdle(key Key, limit int, dialNew bool) (*Conn, error) {
 	for {
-		conn, dialNew, err := pool.acquire(key, limit)
-		if err != nil {
+		conn, err := pool.acquire(key, limit, dialNew)
+		if err != nil || conn == nil {
 			return nil, err
 		}
-		if dialNew {
-			break
-		}
 		if time.Now().Before(conn.idleUntil) && conn.noInput() {
 			return conn, nil
 		}
 		pool.drop(key, conn)
 	}
-	return pool.dialCounted(ctx, key)
 }
 
 // Dial returns a new connection to an upstream, which counts as open.
@@ -100,21 +113,28 @@
 }
 
 // acquire removes an idle connection from the pool and returns it. If there is none, it
-// counts a new connection and returns true, and the caller must dial it.
-func (pool *Pool) acquire(key Key, limit int) (*Conn, bool, error) {
+// counts a new connection and returns nil, and the caller must dial it, or it returns ErrNoIdle
+// if dialNew is not set.
+func (pool *Pool) acquire(key Key, limit int, dialNew bool) (*Conn, error) {
 	pool.lock.Lock()
 	defer pool.lock.Unlock()
 	conns := pool.conns(key)
 	if last := len(conns.idle) - 1; last >= 0 {
 		conn := conns.idle[last]
 		conns.idle = conns.idle[:last]
-		return conn, false, nil
+		return conn, nil
+	}
+	if !dialNew {
+		if conns.open == 0 {
+			delete(pool.upstreams, key)
+		}
+		return nil, ErrNoIdle
 	}
 	if limit > 0 && conns.open >= limit {
-		return nil, false, ErrExhausted
+		return nil, ErrExhausted
 	}
 	pool.countNew(key)
-	return nil, true, nil
+	return nil, nil
 }
 
 // Put returns a connection to the pool after its response was read to the end. It closes
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -28,6 +28,9 @@
 	// CallerAddress and ReadyAddress are the addresses on which the VM listens.
 	CallerAddress string
 	ReadyAddress  string
+	// HandoverAddress is the address on which the VM takes over requests of other entry VMs
+	// that reach no upstream; empty if it does not.
+	HandoverAddress string
 	// MetricsAddress is the address that serves metrics; empty disables them.
 	MetricsAddress string
 	// Seeds are the initially known control VMs.
@@ -70,7 +73,9 @@
 	gateway     *gateway.Gateway
 	follower    *fleet.Follower
 	callerConns callerConns
-	stopping    atomic.Bool
+	// otherConns holds the connections of other entry VMs that hand requests over.
+	otherConns callerConns
+	stopping   atomic.Bool
 }
 
 // RunEntry runs an entry VM until stop is closed, and then drains it. Each value of reload
@@ -86,7 +91,7 @@
 	records, closeRecords := newEntryAuditor(settings, identity, peerClient, loggers.Logger("audit"))
 	defer closeRecords()
 	follower, closeFollower := fleet.Follow(fleet.Options{
-		VM: settings.VM, Zone: settings.Zone, Seeds: settings.Seeds, Table: entry.table, Calls: peerClient,
+		VM: settings.VM, Zone: settings.Zone, Seeds: settings.Seeds, HandoverAddress: settings.HandoverAddress, Table: entry.table, Calls: peerClient,
 		Changed: entry.setLimits, Controls: func(controls []fleet.ControlVM) { records.SetMembers(auditMembers(controls)) }, Logger: loggers.Logger("fleet"),
 	})
 	defer closeFollower()
@@ -116,14 +121,21 @@
 		callersListener.Close()
 		return err
 	}
-	server := &http.Server{
-		Handler: entry.callerConns.closeAfterResponse(entry.gateway), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: trackPhase, ErrorLog: entry.loggers.StandardLogger("callers"),
+	handoverListener, err := entry.listenForOthers()
+	if err != nil {
+		callersListener.Close()
+		readyListener.Close()
+		return err
 	}
+	callers := &accepting{listener: callersListener, conns: &entry.callerConns, server: entry.newServer(&entry.callerConns, entry.gateway, "callers")}
+	others := &accepting{listener: handoverListener, conns: &entry.otherConns, server: entry.newServer(&entry.otherConns, entry.gateway.Takeover(), "handover")}
 	probes := &http.Server{Handler: http.HandlerFunc(entry.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallHeaderBytes, ErrorLog: entry.loggers.StandardLogger("ready")}
-	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(callerListener{callersListener, &entry.callerConns}) }()
+	failed := make(chan error, 3)
+	go func() { failed <- callers.serve() }()
 	go func() { failed <- probes.Serve(readyListener) }()
+	if handoverListener != nil {
+		go func() { failed <- others.serve() }()
+	}
 	defer probes.Close()
 	entry.logger.Info("Serving callers.", "vm", entry.settings.VM, "zone", entry.settings.Zone, "address", entry.settings.CallerAddress)
 	ticker := time.NewTicker(trimInterval)
@@ -137,7 +149,7 @@
 		case now := <-ticker.C:
 			entry.gateway.CloseIdle(now)
 		case <-stop:
-			return entry.drain(server, callersListener)
+			return entry.drain(callers, others)
 		}
 	}
 }
@@ -171,28 +183,30 @@
 //
 // The server is not shut down before that: net/http then closes connections on which it has
 // just read the head of a request, without a response.
-func (entry *entry) drain(server *http.Server, listener net.Listener) error {
+func (entry *entry) drain(callers, others *accepting) error {
 	start := time.Now()
 	entry.stopping.Store(true)
 	entry.logger.Info("Stopping.", "grace", entry.settings.Grace)
 	removed := min(balancerRemovalTime, entry.settings.Grace/2)
 	defer entry.gateway.Stop(start.Add(removed), start.Add(max(removed, entry.settings.Grace-exitMargin-answerMargin)))()
-	entry.callerConns.closeIdle()
+	callers.conns.closeIdle()
+	others.conns.closeIdle()
 	timer := time.NewTimer(removed)
 	defer timer.Stop()
 	<-timer.C
-	listener.Close()
-	entry.callerConns.closeUnused()
+	callers.close()
+	others.close()
 	cutOff := time.NewTimer(time.Until(start.Add(entry.settings.Grace - exitMargin)))
 	defer cutOff.Stop()
-	select {
-	case <-entry.callerConns.drained():
+	if callers.drained(cutOff.C) && others.drained(cutOff.C) {
 		entry.logger.Info("Stopped.", "took", time.Since(start))
-	case <-cutOff.C:
+	} else {
 		entry.logger.Warn("Responses were aborted at the end of the grace time.")
 	}
-	if err := server.Close(); err != nil {
-		entry.logger.Debug("Failed to close the server for callers.", "error", err)
+	for _, accepting := range []*accepting{callers, others} {
+		if err := accepting.server.Close(); err != nil {
+			entry.logger.Debug("Failed to close a server.", "error", err)
+		}
 	}
 	return nil
 }
