--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -35,6 +35,9 @@
 	chunk := make([]byte, readSize)
 	for {
 		count, err := response.Body.Read(chunk)
+		if count > 0 {
+			attempt.heard()
+		}
 		whole, events, overBound := splitter.split(chunk[:count])
 		passed, inOrder := attempt.advance(events)
 		if !inOrder {
