--- a/internal/session/replica_test.go
+++ b/internal/session/replica_test.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/replica/lease"
 	"github.com/dandelionring/dandelionring/pkg/replica/raft"
+	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
 // replicatedCluster is a set of VMs whose sessions run on the real replicated log.
@@ -25,6 +26,8 @@
 	lock sync.Mutex // leaf lock: no other lock is taken while it is held
 	vms  map[core.VMID]*clusterVM
 	cut  map[core.VMID]bool
+	// disks holds the file systems that replace the one of the operating system.
+	disks map[core.VMID]wal.FileSystem
 }
 
 type clusterVM struct {
@@ -72,7 +75,7 @@
 
 func (cluster *replicatedCluster) start(t *testing.T, vm core.VMID, zone core.ZoneID, others, diskVMs []core.VMID) {
 	endpoint := endpoint{cluster, vm}
-	opened, closeHost, err := host.New(host.Config{VM: vm, DiskVMs: diskVMs, Directory: filepath.Join(t.TempDir(), string(vm))}, endpoint, endpoint)
+	opened, closeHost, err := host.New(host.Config{VM: vm, DiskVMs: diskVMs, Directory: filepath.Join(t.TempDir(), string(vm)), System: cluster.disks[vm]}, endpoint, endpoint)
 	is.New(t).NoErr(err)
 	replica, _ := opened.Replica(0)
 	session := New(Options{
