Keep the replica of a shard when it is opened again

Cause: after a failed write, for instance on a full disk, the host put a new Replica in place of the stopped one. The session, the archive and the status of a VM hold the first one, which never leads and never changes again. Once the disk of each VM has been full, no VM leads the sessions: no group is assigned, and no change of the configuration reaches a VM. Change: a Replica is the same for as long as its host is open. Reopening replaces its files and its worker, after the old worker has ended. The list of replicas needs no lock any more.

--- /dev/null
+++ b/internal/host/disk_test.go
@@ -0,0 +1,127 @@
+package host
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/wal"
+)
+
+// limitedDisk is a file system that takes no more bytes while it is full: a write takes half
+// of them and fails, or, with lateErrors, takes all and the next sync fails.
+type limitedDisk struct {
+	wal.OSFileSystem
+	full       atomic.Bool
+	lateErrors bool
+}
+
+type limitedFile struct {
+	wal.File
+	disk *limitedDisk
+	late *atomic.Bool
+}
+
+func (disk *limitedDisk) Create(path string) (wal.File, error) {
+	file, err := disk.OSFileSystem.Create(path)
+	return limitedFile{file, disk, &atomic.Bool{}}, err
+}
+
+func (disk *limitedDisk) OpenAppend(path string, size int64) (wal.File, error) {
+	file, err := disk.OSFileSystem.OpenAppend(path, size)
+	return limitedFile{file, disk, &atomic.Bool{}}, err
+}
+
+func (file limitedFile) Write(data []byte) (int, error) {
+	if !file.disk.full.Load() {
+		return file.File.Write(data)
+	}
+	if file.disk.lateErrors {
+		file.late.Store(true)
+		return file.File.Write(data)
+	}
+	written, err := file.File.Write(data[:len(data)/2])
+	if err == nil {
+		err = syscall.ENOSPC
+	}
+	return written, err
+}
+
+// Sync fails once after writes that found no room, as on Linux.
+func (file limitedFile) Sync() error {
+	if file.late.Swap(false) {
+		return syscall.ENOSPC
+	}
+	return file.File.Sync()
+}
+
+// orders returns all orders of the numbers below count.
+func orders(count int) [][]int {
+	if count == 0 {
+		return [][]int{nil}
+	}
+	var all [][]int
+	for _, order := range orders(count - 1) {
+		for at := range count {
+			next := append([]int(nil), order[:at]...)
+			all = append(all, append(append(next, count-1), order[at:]...))
+		}
+	}
+	return all
+}
+
+// runFullDisks fills the disks of size VMs one after another for 3 s, with claims all the
+// while, and then expects that a claim takes less than 4 s, and that all replicas which were
+// opened at the start agree and one of them leads.
+func runFullDisks(t *testing.T, size int, order []int, lateErrors bool) {
+	runCluster(t, size, func(cluster *cluster) {
+		disks := make(map[core.VMID]*limitedDisk)
+		replicas := make(map[core.VMID]*Replica)
+		for _, vm := range cluster.vms {
+			disks[vm] = &limitedDisk{lateErrors: lateErrors}
+			cluster.config.System = disks[vm]
+			cluster.start(vm)
+			replicas[vm] = cluster.replica(vm, 1)
+		}
+		claims := 0
+		claimFor := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				cluster.mustClaim(fmt.Sprint(claims))
+				claims++
+			}
+		}
+		claimFor(2 * time.Second)
+		for _, index := range order {
+			disks[cluster.vms[index]].full.Store(true)
+			claimFor(3 * time.Second)
+			disks[cluster.vms[index]].full.Store(false)
+			claimFor(time.Second)
+		}
+		began := time.Now()
+		cluster.mustClaim("last")
+		cluster.is.True(time.Since(began) < 4*time.Second)
+		cluster.waitForClaims(claims+1, cluster.vms...)
+		leaders := 0
+		for vm, replica := range replicas {
+			cluster.is.True(replica == cluster.replica(vm, 1))
+			cluster.is.NoErr(replica.Err())
+			if _, leads := replica.IsLeader(); leads {
+				leaders++
+			}
+		}
+		cluster.is.Equal(leaders, 1)
+	})
+}
+
+// TestFullDisks guards against a group that does not commit, or a replica that stays out,
+// after the disk of each VM was full for some seconds, one after another, in any order.
+func TestFullDisks(t *testing.T) {
+	for _, size := range []int{3, 4} {
+		for _, order := range orders(size) {
+			t.Run(fmt.Sprint(order), func(t *testing.T) { runFullDisks(t, size, order, false) })
+		}
+	}
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -24,8 +24,7 @@
 	// missedPolls counts the consecutive polls that a VM did not answer. Only the
 	// goroutine of manage uses it.
 	missedPolls map[core.VMID]int
-
-	lock     sync.RWMutex // a leaf lock: guards replicas
+	// replicas are those of shard 0 and the shards of claims. New sets them.
 	replicas []*Replica
 }
 
@@ -38,7 +37,7 @@
 	}
 	host := &Host{config: config, caller: caller, transport: transport, missedPolls: make(map[core.VMID]int)}
 	for shard := core.ShardID(0); shard <= config.ClaimShards; shard++ {
-		replica, err := openReplica(config, shard, config.shardFolder(shard), transport)
+		replica, err := openReplica(config, shard, transport)
 		if err != nil {
 			return nil, nil, errors.Join(err, host.closeFiles())
 		}
@@ -61,36 +60,28 @@
 func (host *Host) closeFiles() error {
 	var failures []error
 	for _, replica := range host.replicas {
-		failures = append(failures, replica.worker.files.Close())
+		failures = append(failures, replica.files.Load().Close())
 	}
 	return errors.Join(failures...)
 }
 
 func (host *Host) close() error {
 	var failures []error
-	for _, replica := range host.allReplicas() {
+	for _, replica := range host.replicas {
 		failures = append(failures, replica.close())
 	}
 	return errors.Join(failures...)
 }
 
-// Replica returns the replica of a shard, or false if there is no such shard.
+// Replica returns the replica of a shard, or false if there is no such shard. It is the same
+// for as long as the Host is open.
 func (host *Host) Replica(shard core.ShardID) (*Replica, bool) {
-	host.lock.RLock()
-	defer host.lock.RUnlock()
 	if int(shard) >= len(host.replicas) {
 		return nil, false
 	}
 	return host.replicas[shard], true
 }
 
-// allReplicas returns the current replicas of all shards.
-func (host *Host) allReplicas() []*Replica {
-	host.lock.RLock()
-	defer host.lock.RUnlock()
-	return slices.Clone(host.replicas)
-}
-
 // Deliver passes messages of other VMs to their replicas.
 func (host *Host) Deliver(messages []raft.Message) {
 	grouped := make(map[core.ShardID][]raft.Message)
--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -106,7 +106,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, replica := range host.allReplicas() {
+			for _, replica := range host.replicas {
 				host.reopenFailed(replica)
 				host.manageReplica(ctx, replica)
 			}
@@ -177,7 +177,7 @@
 // It updates missedPolls.
 func (host *Host) view(replica *Replica, infos map[core.VMID]*wire.ReplicaInfoResult) raft.View {
 	view := raft.View{
-		Self: replica.id, Present: replicaIDs(infos), Missed: make(map[core.VMID]int),
+		Self: replica.id(), Present: replicaIDs(infos), Missed: make(map[core.VMID]int),
 		Zones: make(map[core.VMID]core.ZoneID), Voters: host.config.Voters,
 		MissedBeforeReplacement: missedBeforeReplacement, MissedBeforeSameZoneReplacement: missedBeforeSameZoneReplacement,
 	}
@@ -206,20 +206,13 @@
 	if err == nil || err == ErrStopped || errors.Is(err, wal.ErrSync) || errors.As(err, &damage) { //nolint:errorlint // a closed replica has no further cause
 		return
 	}
-	if err := failed.worker.files.Close(); err != nil {
-		host.config.Logger.Warn("Files of a stopped replica not closed.", "error", err)
-	}
-	next, err := openReplica(host.config, failed.shard, host.config.shardFolder(failed.shard), host.transport)
-	if err != nil {
-		host.config.Logger.Warn("Replica not reopened, will retry.", "error", err)
-		return
+	opened, err := failed.reopen()
+	switch {
+	case err != nil:
+		failed.logger.Warn("Replica not reopened, will retry.", "error", err)
+	case opened:
+		failed.logger.Info("The replica works again.")
 	}
-	next.subscribers = failed.subscribers
-	host.lock.Lock()
-	host.replicas[failed.shard] = next
-	host.lock.Unlock()
-	next.start()
-	host.config.Logger.Info("The replica works again.", "shard", failed.shard)
 }
 
 func (host *Host) requestInfo(ctx context.Context, vm core.VMID, shard core.ShardID) (*wire.ReplicaInfoResult, error) {
@@ -261,7 +254,7 @@
 func (replica *Replica) info() *wire.ReplicaInfoResult {
 	status := replica.status.Load()
 	return &wire.ReplicaInfoResult{
-		Vm: string(replica.id.VM), Incarnation: string(replica.id.Incarnation), Empty: replica.empty.Load(),
+		Vm: string(status.ID.VM), Incarnation: string(status.ID.Incarnation), Empty: replica.empty.Load(),
 		LeaderVm: string(status.Leader.VM), Term: uint64(status.Term), Commit: uint64(status.Commit),
 		LaterStart: replica.config.Restart,
 	}
--- a/internal/host/persist.go
+++ b/internal/host/persist.go
@@ -49,9 +49,8 @@
 	if err := worker.files.Reset(ready.HardState, snapshot); err != nil {
 		return err
 	}
-	worker.replica.stateLock.Lock()
-	worker.replica.state = state
-	worker.replica.stateLock.Unlock()
+	worker.state = state
+	worker.showState()
 	worker.entries, worker.bytes = 0, 0
 	worker.replica.logger.Info("Installed a snapshot of the leader.", "index", snapshot.Index)
 	if len(ready.Entries) == 0 {
@@ -102,7 +101,7 @@
 	worker.replica.stateLock.Lock()
 	for i, entry := range entries {
 		if entry.Type == raft.EntryCommand {
-			results[i] = worker.replica.state.Apply(uint64(entry.Index), commands[i])
+			results[i] = worker.state.Apply(uint64(entry.Index), commands[i])
 		}
 	}
 	worker.replica.stateLock.Unlock()
@@ -143,14 +142,15 @@
 	if !ok {
 		return nil
 	}
-	state := worker.replica.state.Snapshot() // only the worker changes the state
+	state := worker.state.Snapshot() // only the worker changes the state
 	worker.entries, worker.bytes = 0, 0
 	done := make(chan struct{})
 	worker.snapshotDone = done
 	go func() {
 		saved := &savedSnapshot{index: snapshot.Index, err: worker.writeSnapshot(snapshot, state)}
-		close(done)
+		// A worker that stops waits for done, so that its successor does not get the outcome.
 		worker.replica.queue.put(func(waiting *pendingWork) { waiting.saved = saved })
+		close(done)
 	}()
 	return nil
 }
--- a/internal/host/queue.go
+++ b/internal/host/queue.go
@@ -94,5 +94,14 @@
 	queue.lock.Lock()
 	defer queue.lock.Unlock()
 	queue.stopped = true
-	return queue.waiting
+	remaining := queue.waiting
+	queue.waiting = pendingWork{}
+	return remaining
+}
+
+// open accepts work again after close.
+func (queue *queue) open() {
+	queue.lock.Lock()
+	defer queue.lock.Unlock()
+	queue.stopped = false
 }
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -15,11 +15,13 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
-// Replica is the replica of one shard on this VM.
+// Replica is the replica of one shard on this VM. It is the same for as long as the Host is
+// open: after a failed write it stops and later works again, and its users notice that only
+// by errors meanwhile. A user that kept a replica which another one has replaced would follow
+// a state that never changes again.
 type Replica struct {
 	config      Config
 	shard       core.ShardID
-	id          raft.ReplicaID
 	transport   transport
 	logger      *log.Logger
 	queue       queue
@@ -27,41 +29,52 @@
 	empty       atomic.Bool
 	pending     atomic.Int64
 	stop        chan struct{}
-	stopped     chan struct{}
-	subscribers *subscribers
+	subscribers subscribers
+	files       atomic.Pointer[wal.Log]
 
 	stateLock sync.RWMutex // leaf lock: no other lock is taken while it is held
 	state     *ledger.State
 	failure   error
 
-	// Only the worker goroutine uses worker, except for its files.
-	worker worker
+	// worker does the work since the last call of open, and stopped is closed when it has
+	// ended. Both are set by the goroutine that opens, starts, reopens and closes the replica.
+	worker  *worker
+	stopped chan struct{}
 }
 
 // openReplica restores a replica from its directory. The caller starts its worker.
-func openReplica(config Config, shard core.ShardID, directory string, transport transport) (*Replica, error) {
-	files, restored, err := wal.Open(directory, wal.Options{System: config.System})
-	if err != nil {
-		return nil, errors.Wrapf(err, "open log of shard %d", shard)
-	}
+func openReplica(config Config, shard core.ShardID, transport transport) (*Replica, error) {
 	replica := &Replica{
 		config: config, shard: shard, transport: transport,
-		id:          raft.ReplicaID{VM: config.VM, Incarnation: files.Incarnation()},
-		logger:      config.Logger.With("shard", shard),
-		queue:       queue{signal: make(chan struct{}, 1)},
-		stop:        make(chan struct{}),
-		stopped:     make(chan struct{}),
-		subscribers: &subscribers{},
+		logger: config.Logger.With("shard", shard),
+		queue:  queue{signal: make(chan struct{}, 1)},
+		stop:   make(chan struct{}),
 	}
-	replica.worker = worker{replica: replica, files: files, waiting: make(map[raft.Index]*proposal)}
-	if err := replica.worker.restore(restored); err != nil {
-		return nil, errors.Join(errors.Wrapf(err, "restore state of shard %d", shard), files.Close())
+	if err := replica.open(); err != nil {
+		return nil, err
 	}
 	return replica, nil
 }
 
+// open restores the state from the directory and sets the worker, which is not started.
+func (replica *Replica) open() error {
+	files, restored, err := wal.Open(replica.config.shardFolder(replica.shard), wal.Options{System: replica.config.System})
+	if err != nil {
+		return errors.Wrapf(err, "open log of shard %d", replica.shard)
+	}
+	opened := &worker{replica: replica, files: files, waiting: make(map[raft.Index]*proposal)}
+	if err := opened.restore(restored); err != nil {
+		return errors.Join(errors.Wrapf(err, "restore state of shard %d", replica.shard), files.Close())
+	}
+	replica.worker = opened
+	replica.files.Store(files)
+	return nil
+}
+
 // Incarnation returns the identity of the replica's disk.
-func (replica *Replica) Incarnation() core.Incarnation { return replica.id.Incarnation }
+func (replica *Replica) Incarnation() core.Incarnation { return replica.id().Incarnation }
+
+func (replica *Replica) id() raft.ReplicaID { return replica.status.Load().ID }
 
 // Status returns the state of the replica after its last iteration.
 func (replica *Replica) Status() raft.Status { return *replica.status.Load() }
@@ -77,8 +90,8 @@
 // there is none.
 func (replica *Replica) Leader() core.VMID { return replica.status.Load().Leader.VM }
 
-// Syncs returns the number of syncs of the replica's log since its start.
-func (replica *Replica) Syncs() uint64 { return replica.worker.files.Syncs() }
+// Syncs returns the number of syncs of the replica's log since it was last opened.
+func (replica *Replica) Syncs() uint64 { return replica.files.Load().Syncs() }
 
 // Err returns the reason why the replica stopped, or nil while it is running.
 func (replica *Replica) Err() error {
@@ -194,11 +207,39 @@
 }
 
 func (replica *Replica) start() {
-	go replica.worker.run()
+	stopped := make(chan struct{})
+	replica.stopped = stopped
+	opened := replica.worker
+	go func() {
+		defer close(stopped)
+		opened.run()
+	}()
+}
+
+// reopen opens a replica again that has stopped after an error, and starts it. It returns
+// false without an error if the worker has not ended yet.
+func (replica *Replica) reopen() (bool, error) {
+	select {
+	case <-replica.stopped:
+	default:
+		return false, nil
+	}
+	if err := replica.files.Load().Close(); err != nil {
+		replica.logger.Warn("Files of a stopped replica not closed.", "error", err)
+	}
+	if err := replica.open(); err != nil {
+		return false, err
+	}
+	replica.stateLock.Lock()
+	replica.failure = nil
+	replica.stateLock.Unlock()
+	replica.queue.open()
+	replica.start()
+	return true, nil
 }
 
 func (replica *Replica) close() error {
 	close(replica.stop)
 	<-replica.stopped
-	return replica.worker.files.Close()
+	return replica.files.Load().Close()
 }
--- a/internal/host/role.go
+++ b/internal/host/role.go
@@ -21,7 +21,7 @@
 // Role returns the role of the replica that is furthest from voting.
 func (host *Host) Role() ReplicaRole {
 	result := RoleVoter
-	for _, replica := range host.allReplicas() {
+	for _, replica := range host.replicas {
 		switch role := replica.role(); {
 		case role == RoleStopped:
 			return role
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -17,6 +17,8 @@
 	replica *Replica
 	files   *wal.Log
 	node    *raft.Node
+	// state is the state of the replica, which other goroutines see under its lock.
+	state *ledger.State
 	// waiting holds the proposals that are in the log but not applied yet.
 	waiting       map[raft.Index]*proposal
 	confirmations []*confirmation
@@ -42,25 +44,33 @@
 		}
 		state = decoded
 	}
-	worker.node = raft.New(replica.raftConfig(), restored)
-	replica.stateLock.Lock()
-	replica.state = state
-	replica.stateLock.Unlock()
+	worker.node = raft.New(worker.raftConfig(), restored)
+	worker.state = state
 	for worker.node.HasReady() {
 		if err := worker.process(worker.node.Ready()); err != nil {
 			return err
 		}
 		worker.node.Advance()
 	}
+	worker.showState()
 	worker.publish()
 	return nil
 }
 
-func (replica *Replica) raftConfig() raft.Config {
+// showState shows the state to other goroutines.
+func (worker *worker) showState() {
+	worker.replica.stateLock.Lock()
+	defer worker.replica.stateLock.Unlock()
+	worker.replica.state = worker.state
+}
+
+func (worker *worker) raftConfig() raft.Config {
+	replica := worker.replica
+	id := raft.ReplicaID{VM: replica.config.VM, Incarnation: worker.files.Incarnation()}
 	seed := fnv.New64a()
-	seed.Write([]byte(replica.id.String()))
+	seed.Write([]byte(id.String()))
 	return raft.Config{
-		Shard: replica.shard, ID: replica.id, Seed: seed.Sum64(),
+		Shard: replica.shard, ID: id, Seed: seed.Sum64(),
 		ElectionTicks: replica.config.ElectionTicks, HeartbeatTicks: replica.config.HeartbeatTicks,
 	}
 }
@@ -68,7 +78,6 @@
 // run processes work until the replica is stopped or a write fails.
 func (worker *worker) run() {
 	replica := worker.replica
-	defer close(replica.stopped)
 	ticker := time.NewTicker(replica.config.Tick)
 	defer ticker.Stop()
 	for {
@@ -124,9 +133,6 @@
 // runIteration processes all queued work and the Ready states that result from it.
 func (worker *worker) runIteration() error {
 	taken := worker.replica.queue.take()
-	if err := worker.bootstrap(taken.initial); err != nil {
-		return err
-	}
 	for _, message := range taken.messages {
 		worker.node.Step(message)
 	}
@@ -140,6 +146,11 @@
 		worker.addReplica(id)
 	}
 	worker.changeMembership(taken.view)
+	// Nothing may fail before all proposals and confirmations are in the worker's tables or
+	// answered: shutDown answers only those.
+	if err := worker.bootstrap(taken.initial); err != nil {
+		return err
+	}
 	if err := worker.compact(taken.saved); err != nil {
 		return err
 	}
