Show what a full disk leaves behind when a sync finds it

Cause: two faults of the log on a full disk. A sync that finds no room counts as a failed device, so that the replica stops for good. And a segment that was created on the full disk is used later although its name was never synced.

--- a/internal/host/disk_test.go
+++ b/internal/host/disk_test.go
@@ -1,13 +1,16 @@
 package host
 
 import (
+	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
@@ -125,3 +128,76 @@
 		}
 	}
 }
+
+// TestFullDisksFoundBySync guards against a replica that stays out for good because its full
+// disk was found by a sync and not by a write, as on file systems that assign space late.
+func TestFullDisksFoundBySync(t *testing.T) {
+	for _, order := range orders(3) {
+		t.Run(fmt.Sprint(order), func(t *testing.T) { runFullDisks(t, 3, order, true) })
+	}
+}
+
+// TestFullDisksAtRandom guards against the same with random lengths and gaps, errors of writes
+// or of syncs, changes that are larger than a snapshot interval, and a restart of all VMs
+// afterwards that lacks a claim.
+func TestFullDisksAtRandom(t *testing.T) {
+	for seed := range uint64(4) { // 20 seeds take 50 s
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 1))
+			runCluster(t, 3+random.IntN(3), func(cluster *cluster) {
+				disks := make(map[core.VMID]*limitedDisk)
+				for _, vm := range cluster.vms {
+					disks[vm] = &limitedDisk{lateErrors: random.IntN(2) == 0}
+					cluster.config.System = disks[vm]
+					cluster.start(vm)
+				}
+				claims, list := 0, core.ConfigNumber(0)
+				change := func(length time.Duration) {
+					for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond) {
+						cluster.mustClaim(fmt.Sprint(claims))
+						claims++
+						if random.IntN(20) == 0 {
+							list = cluster.putPlans(list, 500)
+						}
+					}
+				}
+				change(2 * time.Second)
+				for range 10 {
+					disk := disks[cluster.vms[random.IntN(len(cluster.vms))]]
+					disk.full.Store(true)
+					change(time.Duration(random.IntN(6000)) * time.Millisecond)
+					disk.full.Store(false)
+					change(time.Duration(random.IntN(1000)) * time.Millisecond)
+				}
+				began := time.Now()
+				list = cluster.putPlans(list, 500)
+				cluster.is.True(time.Since(began) < 4*time.Second)
+				cluster.waitForClaims(claims, cluster.vms...)
+				cluster.stopAll()
+				for _, vm := range cluster.vms {
+					cluster.config.System = disks[vm]
+					cluster.start(vm)
+				}
+				cluster.waitForClaims(claims, cluster.vms...)
+				cluster.putPlans(list, 1)
+			})
+		})
+	}
+}
+
+// putPlans replaces the plans with the given number of plans and returns the number of the
+// configuration.
+func (cluster *cluster) putPlans(replaces core.ConfigNumber, count int) core.ConfigNumber {
+	cluster.t.Helper()
+	plans := &core.Plans{}
+	for i := range count {
+		name := fmt.Sprint(replaces, "-", i)
+		plans.Plans = append(plans.Plans, core.Plan{Plan: core.PlanID(name), Customer: core.CustomerID(name), KeyHashes: []core.KeyHash{core.KeyHash(fmt.Sprintf("%064x", i))}})
+	}
+	ctx, cancel := context.WithTimeout(cluster.t.Context(), 10*time.Second)
+	defer cancel()
+	result, err := cluster.client.PutList(ctx, ledger.PutList{Kind: core.PlansList, Replaces: replaces, Plans: plans, Operator: "o"})
+	cluster.is.NoErr(err)
+	cluster.is.True(result.Accepted) // the first attempt or a repeated one
+	return replaces + 1
+}
