Sync the names of the segments when a log is opened

Cause: starting a segment on a full disk returns after the file is created and before its name is synced. Once there is room, the log is opened with this segment as the last one, and entries are saved to it. A power loss removes the name, and with it entries that were durable for the group. Change: opening a log syncs its directory before the log is used.

--- a/pkg/replica/wal/log.go
+++ b/pkg/replica/wal/log.go
@@ -81,12 +81,25 @@
 	}
 	log.unlock = unlock
 	restored, err := log.load()
+	if err == nil {
+		err = log.syncNames()
+	}
 	if err != nil {
 		return nil, raft.Restored{}, errors.Join(joinDiskFull(err), log.Close())
 	}
 	return log, restored, nil
 }
 
+// syncNames makes the names of the files durable. The last segment may have been created on a
+// full disk: it is used from now on, but startSegment has returned before it synced its name,
+// and a power loss would remove it with all entries that are saved to it.
+func (log *Log) syncNames() error {
+	if err := log.fileSystem.SyncDirectory(log.directory); err != nil {
+		return wrapSync(err, log.directory)
+	}
+	return nil
+}
+
 // createDirectory creates the directory if it does not exist. It makes its name and that of
 // its parent, which is created as well, durable: without them a replica whose files are all
 // synced would return with an empty disk after a power loss.
