Open the log again after a sync that found a full disk

Cause: file systems that assign space late, or by quota, report a full disk at the sync and not at the write. The log took every failed sync for a failed device: the replica stopped for good, while its process ran and answered. After a majority of the disks had been full, one after another, nothing was committed any more. A temporary file is never read back. The error is then ErrDiskFull and not ErrSync, and the host opens the replica again as after a failed write.

--- a/pkg/replica/wal/errors.go
+++ b/pkg/replica/wal/errors.go
@@ -16,7 +16,8 @@
 	ErrFailed = errors.New("the log stopped after a failed write")
 	// ErrSync means that the sync of a file or of the directory failed. Data that is read back afterwards
 	// may come from the page cache only, so the log must not be opened again before the
-	// machine restarts.
+	// machine restarts. A sync that found a full disk is ErrDiskFull instead if what it did
+	// not make durable cannot be read back.
 	ErrSync = errors.New("a sync failed")
 	// ErrTooLarge means that a batch or a snapshot is larger than the reader accepts.
 	// Nothing was written.
@@ -47,8 +48,12 @@
 
 // joinDiskFull adds ErrDiskFull to an error that a full disk or an exceeded quota caused.
 func joinDiskFull(err error) error {
-	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
+	if isDiskFull(err) {
 		return errors.Join(ErrDiskFull, err)
 	}
 	return err
 }
+
+func isDiskFull(err error) bool {
+	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+}
--- a/pkg/replica/wal/filesystem.go
+++ b/pkg/replica/wal/filesystem.go
@@ -148,7 +148,7 @@
 	return nil
 }
 
-// writeNewFile creates a file, writes content to it and syncs it.
+// writeNewFile creates a temporary file, writes content to it and syncs it.
 func writeNewFile(system FileSystem, path string, content []byte) error {
 	file, err := system.Create(path)
 	if err != nil {
@@ -158,7 +158,9 @@
 	if _, err := file.Write(content); err != nil {
 		return errors.Wrapf(err, "write %s", path)
 	}
-	if err := file.Sync(); err != nil {
+	if err := file.Sync(); err != nil && isDiskFull(err) {
+		return errors.Wrapf(err, "sync %s", path) // a temporary file is never read back
+	} else if err != nil {
 		return wrapSync(err, path)
 	}
 	return nil
