Open the audit folder again after a sync that found a full disk

A sync that found a full disk was ErrSync, after which the folder stays closed as long as the process runs, and the VM takes no audit records. Change: the block that was not synced is cut off at once, so that it is never read back, and the error is that of the full disk only. If the cut fails, and after any other error, the folder stays closed as before. No test fills a disk below a whole VM.

--- a/internal/auditor/disk.go
+++ b/internal/auditor/disk.go
@@ -15,7 +15,7 @@
 const reopenDelay = time.Second
 
 // Disk writes records to an audit folder. It opens the folder again after a failed write,
-// for instance on a full disk, but not after a failed sync, since data that is read back
+// for instance on a full disk, but not after audit.ErrSync, since data that is read back
 // afterwards may not be on the disk, and not if the files are damaged. It must be created
 // with OpenDisk.
 type Disk struct {
--- a/pkg/audit/chain.go
+++ b/pkg/audit/chain.go
@@ -1,8 +1,10 @@
 package audit
 
 import (
+	"io"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -16,7 +18,7 @@
 	folder  string
 	options Options
 	writer  string
-	file    *os.File
+	file    blockFile
 	size    int64
 	opened  time.Time
 	// first is the index of the oldest record that retention has kept, count that of the
@@ -33,6 +35,13 @@
 	failure      error
 }
 
+// blockFile is the newest file of a chain.
+type blockFile interface {
+	io.WriteCloser
+	Sync() error
+	Truncate(size int64) error
+}
+
 func openChain(folder string, options Options) (*chainLog, error) {
 	if err := createFolder(folder); err != nil {
 		return nil, err
@@ -197,12 +206,25 @@
 		return errors.Wrap(err, "write audit block")
 	}
 	if err := log.file.Sync(); err != nil {
-		return errors.Wrap(errors.Join(ErrSync, err), "sync audit block")
+		return errors.Wrap(log.discardUnsynced(err), "sync audit block")
 	}
 	log.size, log.count, log.hash = log.size+int64(len(log.buffer)), count, hash
 	return nil
 }
 
+// discardUnsynced returns the error of a failed sync of a block. File systems that assign
+// space late find a full disk only then. The block is cut off in that case, so that it is never
+// read back and taken for durable. Any other failure, and one to cut, is ErrSync.
+func (log *chainLog) discardUnsynced(err error) error {
+	if !errors.Is(err, syscall.ENOSPC) && !errors.Is(err, syscall.EDQUOT) {
+		return errors.Join(ErrSync, err)
+	}
+	if cutErr := log.file.Truncate(log.size); cutErr != nil {
+		return errors.Join(ErrSync, err, cutErr)
+	}
+	return err
+}
+
 // rotate starts a new file and removes old files by the rules of retention.
 func (log *chainLog) rotate() error {
 	if err := log.file.Close(); err != nil {
--- a/pkg/audit/writer.go
+++ b/pkg/audit/writer.go
@@ -33,7 +33,8 @@
 var ErrClosed = errors.New("the audit writer is closed")
 
 // ErrSync is wrapped by the errors that Append returns from the first failed sync of a
-// block on. Data that is then read back from the file may not be on the disk.
+// block on. Data that is then read back from the file may not be on the disk. It is not wrapped
+// if the sync found a full disk and the block was cut off: the folder can be opened again.
 var ErrSync = errors.New("a sync of the audit log failed")
 
 // Options configures a Writer. Zero values select the defaults.
