Let a VM take audit records again after a failed write

Cause: a VM of the own deployments used the writer of its audit folder, which fails for good after its first failed write. Once the disks of all VMs had been full, records stayed in memory until the queues were full, and then every request was refused. Change: the VM uses auditor.Disk, as control VMs of the platform do, which opens the folder again. A folder that cannot be opened at the start still ends it. That requests are refused in the end follows from the code of the auditor; it was not run.

--- a/internal/auditor/disk.go
+++ b/internal/auditor/disk.go
@@ -45,6 +45,13 @@
 	return disk, disk.shutdown
 }
 
+// Err returns the reason why the folder is not open, or nil.
+func (disk *Disk) Err() error {
+	disk.lock.Lock()
+	defer disk.lock.Unlock()
+	return disk.failure
+}
+
 // Append returns after the payloads are synced. It returns ErrClosed after the Disk was
 // closed, and otherwise an error that wraps the reason why the folder is not open or the
 // write failed.
--- a/internal/vm/durable.go
+++ b/internal/vm/durable.go
@@ -113,13 +113,14 @@
 	closeWriter := func() {}
 	if settings.DataFolder != "" {
 		storage.auditFolder = filepath.Join(settings.DataFolder, auditFolder)
-		writer, closeLog, err := audit.Open(storage.auditFolder, auditOptions(settings))
-		if err != nil {
+		disk, closeDisk := auditor.OpenDisk(storage.auditFolder, auditOptions(settings), options.Logger)
+		if err := disk.Err(); err != nil {
+			closeDisk()
 			return nil, errors.Wrap(err, "open audit log")
 		}
-		options.Store, closeWriter = writer, closeLog
+		options.Store, closeWriter = disk, closeDisk
 		others := withoutVM(diskVMs(settings), settings.VM)
-		storage.restorer = auditor.NewRestorer(storage.auditFolder, writer, others, client, options.Logger)
+		storage.restorer = auditor.NewRestorer(storage.auditFolder, disk, others, client, options.Logger)
 	}
 	opened, closeAuditor := auditor.New(options)
 	storage.auditor = opened
