Show that a replica goes back when it is opened again

Cause: the commit index on disk is older than what a replica has applied. After a full disk it is opened again with that index and shows an older state until the next heartbeat of the leader. Change: TestShownStateNeverGoesBack fills three disks in turn and compares what each replica shows every millisecond.

--- a/internal/host/disk_test.go
+++ b/internal/host/disk_test.go
@@ -201,3 +201,42 @@
 	cluster.is.True(result.Accepted) // the first attempt or a repeated one
 	return replaces + 1
 }
+
+// TestShownStateNeverGoesBack guards against a replica that shows an older state after it was
+// opened again: the commit index on its disk is older than what it had applied, and a VM could
+// take itself for the owner of a zone that it had seen given away.
+func TestShownStateNeverGoesBack(t *testing.T) {
+	runCluster(t, 3, func(cluster *cluster) {
+		disks := make(map[core.VMID]*limitedDisk)
+		for _, vm := range cluster.vms {
+			disks[vm] = &limitedDisk{}
+			cluster.config.System = disks[vm]
+			cluster.start(vm)
+		}
+		cluster.mustClaim("first")
+		shown, stops := make(map[core.VMID]uint64), 0
+		watch := func(length time.Duration) {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Millisecond) {
+				for _, vm := range cluster.vms {
+					replica := cluster.replica(vm, 1)
+					if replica.Err() != nil {
+						stops++
+					}
+					var applied uint64
+					replica.View(func(state *ledger.State) { applied = state.Applied() })
+					cluster.is.True(applied >= shown[vm])
+					shown[vm] = applied
+				}
+			}
+		}
+		for i := range 3 * len(cluster.vms) {
+			disk := disks[cluster.vms[i%len(cluster.vms)]]
+			disk.full.Store(true)
+			cluster.mustClaim(fmt.Sprint(i))
+			watch(2 * time.Second)
+			disk.full.Store(false)
+			watch(time.Second)
+		}
+		cluster.is.True(stops > 0)
+	})
+}
