Show no older state after a replica is opened again

Cause: a replica that is opened again applies its log up to the commit index on disk, which may be older than what it had applied. A control VM could take itself for the owner of a zone that it had given away; as the first owner, or where engines check tokens, it would send orders at once. Change: other goroutines see the restored state only once it is as new as the one that they have seen. The entries are on the disk, so that the next heartbeat is enough. That a VM sent such orders was not seen; it follows from the code.

--- a/internal/host/persist.go
+++ b/internal/host/persist.go
@@ -50,7 +50,9 @@
 		return err
 	}
 	worker.state = state
+	worker.replica.stateLock.Lock()
 	worker.showState()
+	worker.replica.stateLock.Unlock()
 	worker.entries, worker.bytes = 0, 0
 	worker.replica.logger.Info("Installed a snapshot of the leader.", "index", snapshot.Index)
 	if len(ready.Entries) == 0 {
@@ -104,6 +106,7 @@
 			results[i] = worker.state.Apply(uint64(entry.Index), commands[i])
 		}
 	}
+	worker.showState()
 	worker.replica.stateLock.Unlock()
 	for i, entry := range entries {
 		worker.finishAt(entry, results[i])
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -100,7 +100,7 @@
 	return replica.failure
 }
 
-// View calls read with the state. read must not keep the state, change it, block or
+// View calls read with the state, which never goes back. read must not keep the state, change it, block or
 // take another lock.
 func (replica *Replica) View(read func(state *ledger.State)) {
 	replica.stateLock.RLock()
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -17,7 +17,8 @@
 	replica *Replica
 	files   *wal.Log
 	node    *raft.Node
-	// state is the state of the replica, which other goroutines see under its lock.
+	// state is the state of the replica. Other goroutines see it under its lock once showState
+	// was called.
 	state *ledger.State
 	// waiting holds the proposals that are in the log but not applied yet.
 	waiting       map[raft.Index]*proposal
@@ -52,16 +53,21 @@
 		}
 		worker.node.Advance()
 	}
+	replica.stateLock.Lock()
 	worker.showState()
+	replica.stateLock.Unlock()
 	worker.publish()
 	return nil
 }
 
-// showState shows the state to other goroutines.
+// showState shows the state to other goroutines, unless they have seen a later one: the commit
+// index on disk may be lower than what was applied before the replica was opened again. The
+// caller holds the lock of the state.
 func (worker *worker) showState() {
-	worker.replica.stateLock.Lock()
-	defer worker.replica.stateLock.Unlock()
-	worker.replica.state = worker.state
+	shown := worker.replica.state
+	if shown == nil || shown.Applied() <= worker.state.Applied() {
+		worker.replica.state = worker.state
+	}
 }
 
 func (worker *worker) raftConfig() raft.Config {
