Take any change of runs on a plain stream for joined

Cause: the judge let a run go on after the last piece on routes that do not allow streams to be taken up. Change: only on resumable routes may a run that was asked to go on follow another one.

--- a/standin/rig/order.go
+++ b/standin/rig/order.go
@@ -81,7 +81,7 @@
 			add(Missing, piece, fmt.Sprintf("%d follows %d", piece.Number, last), previous)
 		case piece.Number <= last:
 			add(Repeated, piece, fmt.Sprintf("%d follows %d", piece.Number, last), previous)
-		case !play.continues(piece, chain.writers[last]):
+		case !play.continues(request.sent.Kind, piece, chain.writers[last]):
 			add(JoinedRuns, piece, fmt.Sprintf("run %q does not go on after piece %d", piece.Writer, last), previous)
 		}
 		chain.writers[piece.Number] = piece.Writer
@@ -101,13 +101,14 @@
 }
 
 // continues reports whether the run that wrote a piece may follow writer, which wrote the
-// piece before: it is the same run, or a new one that was asked to go on after that piece.
-func (play *play) continues(piece Record, writer string) bool {
+// piece before: it is the same run, or a new one that was asked to go on after that piece, on a
+// route that allows it.
+func (play *play) continues(kind RouteKind, piece Record, writer string) bool {
 	if piece.Writer == writer {
 		return true
 	}
 	run, known := play.runs[piece.Writer]
-	return known && run.LastEvent == piece.Number-1
+	return known && run.LastEvent == piece.Number-1 && (kind == Resumable || run.LastEvent == 0)
 }
 
 func (chain *chain) addVersion(piece Record) {
