Pair the begin and the end of a disruption by its detail

Cause: the end of a disruption ended the last open one of the process, so that a control VM that was cut off and slowed counted as slowed for the length of the cut. Change: the end of a disruption ends the last open one with its detail.

--- a/standin/rig/touch.go
+++ b/standin/rig/touch.go
@@ -9,11 +9,13 @@
 // disruption is a span in which a process was disrupted, in Unix microseconds.
 type disruption struct {
 	process string
+	detail  string
 	from    int64
 	to      int64
-	slowed  bool
 }
 
+func (span disruption) slowed() bool { return strings.HasPrefix(span.detail, Slowed) }
+
 // disruptions tells when a VM is in touch.
 type disruptions struct {
 	byProcess map[string][]disruption
@@ -30,23 +32,26 @@
 		spans := all.byProcess[record.Process]
 		switch record.Event {
 		case Disrupted:
-			slowed := strings.HasPrefix(record.Detail, Slowed)
-			all.byProcess[record.Process] = append(spans, disruption{record.Process, record.At, math.MaxInt64, slowed})
+			all.byProcess[record.Process] = append(spans, disruption{record.Process, record.Detail, record.At, math.MaxInt64})
 		case Restored:
-			// Several disruptions of one process may overlap: the record ends the last one
-			// that is still open.
-			for i := len(spans) - 1; i >= 0; i-- {
-				if spans[i].to == math.MaxInt64 {
-					spans[i].to = record.At
-					break
-				}
-			}
+			end(spans, record)
 		}
 	}
 	all.unstable = all.coreSpans(figures.Control)
 	return all
 }
 
+// end ends the last open disruption with the detail of the record: several disruptions of one
+// process may overlap. A record without a detail ends the last open one.
+func end(spans []disruption, record Record) {
+	for i := len(spans) - 1; i >= 0; i-- {
+		if spans[i].to == math.MaxInt64 && (record.Detail == "" || record.Detail == spans[i].detail) {
+			spans[i].to = record.At
+			return
+		}
+	}
+}
+
 // coreSpans returns the spans in which the core is not stable: at the begin and the end of
 // each disruption of a control VM, while one is slowed, and while no majority runs. A core
 // that has lost its majority needs twice the contact time: half of that is added here.
@@ -54,7 +59,7 @@
 	var spans, losses []disruption
 	for _, process := range control {
 		for _, span := range all.byProcess[process] {
-			if span.slowed {
+			if span.slowed() {
 				spans = append(spans, span)
 				continue
 			}
