--- a/internal/auditor/disk.go
+++ b/internal/auditor/disk.go
@@ -15,7 +15,7 @@
 const reopenDelay = time.Second
 
 // Disk writes records to an audit folder. It opens the folder again after a failed write,
-// for instance on a full disk, but not after a failed sync, since data that is read back
+// for instance on a full disk, but not after audit.ErrSync, since data that is read back
 // afterwards may not be on the disk, and not if the files are damaged. It must be created
 // with OpenDisk.
 type Disk struct {
@@ -45,6 +45,13 @@
 	return disk, disk.shutdown
 }
 
+// Err returns the reason why the folder is not open, or nil.
+func (disk *Disk) Err() error {
+	disk.lock.Lock()
+	defer disk.lock.Unlock()
+	return disk.failure
+}
+
 // Append returns after the payloads are synced. It returns ErrClosed after the Disk was
 // closed, and otherwise an error that wraps the reason why the folder is not open or the
 // write failed.
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -17,6 +17,9 @@
 	replica *Replica
 	files   *wal.Log
 	node    *raft.Node
+	// state is the state of the replica. Other goroutines see it under its lock once showState
+	// was called.
+	state *ledger.State
 	// waiting holds the proposals that are in the log but not applied yet.
 	waiting       map[raft.Index]*proposal
 	confirmations []*confirmation
@@ -42,25 +45,38 @@
 		}
 		state = decoded
 	}
-	worker.node = raft.New(replica.raftConfig(), restored)
-	replica.stateLock.Lock()
-	replica.state = state
-	replica.stateLock.Unlock()
+	worker.node = raft.New(worker.raftConfig(), restored)
+	worker.state = state
 	for worker.node.HasReady() {
 		if err := worker.process(worker.node.Ready()); err != nil {
 			return err
 		}
 		worker.node.Advance()
 	}
+	replica.stateLock.Lock()
+	worker.showState()
+	replica.stateLock.Unlock()
 	worker.publish()
 	return nil
 }
 
-func (replica *Replica) raftConfig() raft.Config {
+// showState shows the state to other goroutines, unless they have seen a later one: the commit
+// index on disk may be lower than what was applied before the replica was opened again. The
+// caller holds the lock of the state.
+func (worker *worker) showState() {
+	shown := worker.replica.state
+	if shown == nil || shown.Applied() <= worker.state.Applied() {
+		worker.replica.state = worker.state
+	}
+}
+
+func (worker *worker) raftConfig() raft.Config {
+	replica := worker.replica
+	id := raft.ReplicaID{VM: replica.config.VM, Incarnation: worker.files.Incarnation()}
 	seed := fnv.New64a()
-	seed.Write([]byte(replica.id.String()))
+	seed.Write([]byte(id.String()))
 	return raft.Config{
-		Shard: replica.shard, ID: replica.id, Seed: seed.Sum64(),
+		Shard: replica.shard, ID: id, Seed: seed.Sum64(),
 		ElectionTicks: replica.config.ElectionTicks, HeartbeatTicks: replica.config.HeartbeatTicks,
 	}
 }
@@ -68,7 +84,6 @@
 // run processes work until the replica is stopped or a write fails.
 func (worker *worker) run() {
 	replica := worker.replica
-	defer close(replica.stopped)
 	ticker := time.NewTicker(replica.config.Tick)
 	defer ticker.Stop()
 	for {
@@ -124,9 +139,6 @@
 // runIteration processes all queued work and the Ready states that result from it.
 func (worker *worker) runIteration() error {
 	taken := worker.replica.queue.take()
-	if err := worker.bootstrap(taken.initial); err != nil {
-		return err
-	}
 	for _, message := range taken.messages {
 		worker.node.Step(message)
 	}
@@ -140,6 +152,11 @@
 		worker.addReplica(id)
 	}
 	worker.changeMembership(taken.view)
+	// Nothing may fail before all proposals and confirmations are in the worker's tables or
+	// answered: shutDown answers only those.
+	if err := worker.bootstrap(taken.initial); err != nil {
+		return err
+	}
 	if err := worker.compact(taken.saved); err != nil {
 		return err
 	}
