Test that repeats state the end of the first send and need the budget

Callers saw nothing: no fault was found. Cause: that a repeat hands on the time that is left, also without a time of the caller, and that the budget counts repeats after a rejection and after a reset connection, was read in the code and held by no test.

--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -44,6 +44,7 @@
 func (testDialect) Headers(caller http.Header, send Send) http.Header {
 	header := EndToEnd(caller)
 	header.Set("To", string(send.Upstream))
+	header.Set("Left", send.Left.String())
 	header.Del("Last")
 	if send.LastEvent != "" {
 		header.Set("Last", send.LastEvent)
@@ -81,8 +82,13 @@
 	lock     sync.Mutex // no other lock is acquired while it is held
 	answers  []string
 	received []string
+	// ends holds, for each request, the time until which its first send may take.
+	ends map[string]time.Time
 }
 
+// endMargin is the time by which the end that a repeat states may be late.
+const endMargin = 500 * time.Millisecond
+
 func (upstreams *scriptedUpstreams) next(request *http.Request, body []byte) string {
 	upstreams.lock.Lock()
 	defer upstreams.lock.Unlock()
@@ -90,6 +96,15 @@
 	if last := request.Header.Get("Last"); last != "" {
 		line += " last=" + last
 	}
+	id := request.Header.Get("Id")
+	left, err := time.ParseDuration(request.Header.Get("Left"))
+	end, first := time.Now().Add(left), upstreams.ends[id]
+	switch {
+	case err != nil || !first.IsZero() && end.After(first.Add(endMargin)):
+		line += " late-end"
+	case first.IsZero():
+		upstreams.ends[id] = end
+	}
 	if len(upstreams.software) > 0 {
 		line += " to=" + request.Header.Get("To")
 	}
@@ -230,7 +245,8 @@
 
 // TestScripts guards against a second run of a request that may run only once, a refusal
 // of a request that may have run, a response that belongs to another request or is
-// incomplete, and a stream with missing events.
+// incomplete, a stream with missing events, and repeats that the budget does not count or that
+// may take longer than the first send.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
@@ -245,7 +261,7 @@
 // CR LF in the head of a response and stays as it is in the body. What follows LATE is sent
 // on the same connection after the next request has arrived there, with CR LF everywhere.
 func runCase(t *testing.T, data *datadriven.TestData) string {
-	upstreams := &scriptedUpstreams{}
+	upstreams := &scriptedUpstreams{ends: make(map[string]time.Time)}
 	for part := range strings.SplitSeq(data.Input+"\n", "--\n") {
 		if part = strings.TrimSuffix(part, "\n"); part != "" {
 			upstreams.answers = append(upstreams.answers, strings.ReplaceAll(part, `\n`, "\n"))
@@ -307,6 +323,8 @@
 		case "records":
 			options.Recorder = records
 			records.full = len(arg.Vals) > 0 && arg.Vals[0] == "full"
+		case "ratio":
+			options.Repeats.Ratio, _ = strconv.ParseFloat(arg.Vals[0], 64)
 		case "attempts":
 			attempts, _ = strconv.Atoi(arg.Vals[0])
 		case "stop": // the time until late requests are refused, and that until the end
