--- a/pkg/core/unit.go
+++ b/pkg/core/unit.go
@@ -19,6 +19,16 @@
 	Rate   RequestsPerSecond
 }
 
+// RejectionsPerSecond is a rate of rejected requests.
+type RejectionsPerSecond float64
+
+// RejectionLimit is the rate of rejections, for want of room, above which a brittle upstream
+// falls over. The zero value states that the upstream is not brittle.
+type RejectionLimit struct {
+	Stated bool
+	Rate   RejectionsPerSecond
+}
+
 // Priority is the scheduling priority of a request. Larger values are served
 // first; the zero value is the lowest priority.
 type Priority int
