Keep brittle upstreams from falling over

Callers saw requests fail with upstreams that fell over although they had said that they are brittle. Cause: the header was forwarded and not read. Change: platform reads Server-Brittle; a service is brittle from the first answer that says so until one that does not, or for 10 s. The table of an entry VM holds a brittle.Guard for each upstream and passes over those that may be full. Their requests wait up to 250 ms for room, then for another copy of the weights, and are refused with the time until the next risk. A VM that considers such an upstream without a late report makes one due. Why it works: see pkg/policy/brittle. The statement is kept by service, since all its workers make it, and in each VM, so that one which is cut off from the control VMs keeps to it too.

--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -118,23 +118,30 @@
 	return known.stated.share.Reserve(now, table.shareInterval(known.stated.limit.Rate), wait)
 }
 
-// Held is an upstream that could serve a request but for the limit that it states.
+// Held is an upstream that could serve a request but for the limit that it states, or but for
+// the room that it may lack while it is brittle.
 type Held struct {
 	Upstream core.UpstreamID
-	// Wait is the time until the next turn there, as it was known last.
+	// Wait is the time until the next turn or risk there, as it was known last.
 	Wait time.Duration
+	// Full is set if it states no limit and only may lack room.
+	Full bool
 }
 
 // HeldBack returns the upstreams that could serve a request but for the limits that they
-// state, the one with the shortest wait first.
+// state or the room that they may lack, the one with the shortest wait first.
 func (table *Table) HeldBack(now time.Duration, query Query) []Held {
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	var held []Held
 	revision := table.revisions[query.Weights]
 	for _, known := range table.services[query.Service] {
-		if known.stated.limit.Stated && known.stated.heldUntil > now && table.holdsFor(now, known, query, revision) {
-			held = append(held, Held{known.instance.Upstream, known.stated.heldUntil - now})
+		wait, full := time.Duration(0), table.brittleWait(now, known)
+		if known.stated.limit.Stated {
+			wait = known.stated.heldUntil - now
+		}
+		if max(wait, full) > 0 && table.holdsFor(now, known, query, revision) {
+			held = append(held, Held{Upstream: known.instance.Upstream, Wait: max(wait, full), Full: full > 0 && wait <= 0})
 		}
 	}
 	slices.SortFunc(held, func(a, b Held) int { return int(a.Wait - b.Wait) })
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -56,6 +56,10 @@
 	revisions map[core.WeightKey]core.Revision
 	owners    map[core.ZoneID]Owner
 	entryVMs  int
+	// brittle holds what the upstreams of a service have said last of being brittle.
+	brittle map[core.ServiceID]statedBrittle
+	// othersAt holds the time of the last report of the requests of other VMs in a zone.
+	othersAt map[core.ZoneID]time.Duration
 	// sendCounts counts the requests sent since the last report to the owner of a zone.
 	sendCounts map[core.ZoneID]map[ServiceKey]int
 	// changedZones holds the zones in which a request has begun or ended since the last
@@ -74,6 +78,8 @@
 		services:     make(map[core.ServiceID][]*upstream),
 		revisions:    make(map[core.WeightKey]core.Revision),
 		owners:       make(map[core.ZoneID]Owner),
+		brittle:      make(map[core.ServiceID]statedBrittle),
+		othersAt:     make(map[core.ZoneID]time.Duration),
 		sendCounts:   make(map[core.ZoneID]map[ServiceKey]int),
 		changedZones: make(map[core.ZoneID]bool),
 		lastReport:   make(map[core.ZoneID]time.Duration),
@@ -321,6 +327,7 @@
 	if at < 0 {
 		return Selection{}, false
 	}
+	table.sendBrittle(now, found[at])
 	table.countSend(found[at], query)
 	instance := found[at].instance
 	return Selection{
@@ -342,7 +349,7 @@
 // canServe reports whether an upstream may be sent the query. An engine must hold the
 // weights in at least the given revision. The caller holds the lock.
 func (table *Table) canServe(now time.Duration, known *upstream, query Query, revision core.Revision) bool {
-	if known.stated.limit.Stated && known.stated.heldUntil > now {
+	if known.stated.limit.Stated && known.stated.heldUntil > now || table.brittleWait(now, known) > 0 {
 		return false
 	}
 	return table.holdsFor(now, known, query, revision)
@@ -376,9 +383,10 @@
 	defer table.lock.Unlock()
 	known := table.upstreams[id]
 	revision := table.revisions[query.Weights]
-	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) {
+	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) || table.brittleWait(now, known) > 0 {
 		return Selection{}, false
 	}
+	table.sendBrittle(now, known)
 	table.countSend(known, query)
 	return Selection{
 		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.software(),
@@ -476,6 +484,7 @@
 // engine. The caller holds the lock.
 func (table *Table) countSend(known *upstream, query Query) {
 	known.running++
+	known.unreported++
 	table.changedZones[known.instance.Zone] = true
 	if query.Weights.Model == "" {
 		return
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/brittle"
 )
 
 // upstream is the state of one upstream. The lock of the table guards it.
@@ -22,6 +23,9 @@
 	inFlight map[core.WeightKey]int
 	failures failureShare
 	stated   statedLimit
+	guard    brittle.Guard
+	// unreported counts the requests sent since the last report of the other VMs' requests.
+	unreported int
 	// backoffUntil is the time until which no request is sent to it.
 	backoffUntil time.Duration
 	// ended is set once the process seemed to have ended, and endedSequence is the number of the
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -61,9 +62,10 @@
 func (table *Table) setOtherRunning(zone core.ZoneID, result *wire.UsageResult) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
+	table.othersAt[zone] = clock.Now()
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.otherRunning = 0
+			known.otherRunning, known.unreported = 0, 0
 		}
 	}
 	for _, use := range result.GetUpstreams() {
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -21,7 +21,7 @@
 )
 
 // heldBack is the reason why no upstream is chosen while all that could be state a limit.
-const heldBack = "the upstreams are at the limits that they state"
+const heldBack = "the upstreams are at the limits that they state, or are brittle and may be full"
 
 // turns looks for the upstream of one send, at which it needs a turn if the upstream states a
 // limit.
@@ -52,6 +52,9 @@
 			return selection, "", true
 		}
 	}
+	if selection, ok := turns.awaitRoom(ctx, shortTurn); ok {
+		return selection, "", true
+	}
 	turns.addHeldBack()
 	if selection, ok := turns.wait(ctx, shortTurn); ok {
 		return selection, "", true
@@ -93,6 +96,32 @@
 	turns.waits[upstream] = wait
 }
 
+// minRoomWait is the shortest time between two looks for room at brittle upstreams.
+const minRoomWait = 10 * time.Millisecond
+
+// awaitRoom waits until one of the upstreams that may be full may be sent the request, at most
+// for the given time.
+func (turns *turns) awaitRoom(ctx context.Context, limit time.Duration) (fleet.Selection, bool) {
+	table := turns.call.gateway.options.Table
+	for end := time.Now().Add(limit); ctx.Err() == nil; {
+		held := table.HeldBack(clock.Now(), turns.query)
+		at := slices.IndexFunc(held, func(held fleet.Held) bool { return held.Full })
+		if at < 0 || held[at].Wait > time.Until(end) {
+			break
+		}
+		timer := time.NewTimer(max(minRoomWait, held[at].Wait))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+		if selection, ok := table.Select(clock.Now(), turns.query); ok && turns.take(ctx, selection, 0) {
+			return selection, true
+		}
+	}
+	return fleet.Selection{}, false
+}
+
 // addHeldBack adds the upstreams that were passed over, since they had no turn for another
 // request.
 func (turns *turns) addHeldBack() {
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -54,6 +54,8 @@
 	// one that cannot be read.
 	Limit           core.RequestLimit
 	LimitUnreadable bool
+	// Rejections is the rate of rejections above which the upstream says that it falls over.
+	Rejections core.RejectionLimit
 }
 
 // statesLimit reports whether the response says what limit the upstream has. A response that
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -136,6 +136,19 @@
 	}
 }
 
+// observeBrittle stores whether the upstream says that it is brittle, and whether it had room
+// for the request.
+func (attempt *attempt) observeBrittle(info ResponseInfo) {
+	if info.Misdirected || !info.Rejections.Stated && !info.Signed {
+		return
+	}
+	change, changed := attempt.call.gateway.options.Table.ObserveBrittle(clock.Now(), attempt.selection, info.Rejections, info.NotRun)
+	if changed {
+		attempt.call.gateway.options.Logger.Info("The upstreams of a service changed what they say of being brittle.", "service", attempt.call.service,
+			"upstream", attempt.selection.Upstream, "brittle", info.Rejections.Stated, "rate", info.Rejections.Rate, "rate_before", change.Rate)
+	}
+}
+
 // drop closes the connection and removes it from the pool.
 func (attempt *attempt) drop() {
 	attempt.call.gateway.conns.Drop(attempt.key, attempt.conn)
@@ -193,6 +206,7 @@
 	if info.statesLimit() {
 		attempt.observeLimit(info.Limit)
 	}
+	attempt.observeBrittle(info)
 	switch {
 	case info.NotRun || info.Misdirected:
 		return attempt.handleRejection(response, info)
