Keep the errors of other upstreams out of a stream that has begun

What callers saw: after a stream had begun and broken off, the body of another upstream's answer in the middle of it, such as the text of a 404, and then the regular end of the stream, so it looked complete without its last pieces. Cause: an answer below 500 that is not a stream was written to the caller whatever had been written before. The class of the fault: a path that ends a request and does not know how far its answer is. Change: such an answer ends the attempt if a part of the stream is out. Another upstream may continue it; without one the stream is broken off. Why it works: the only places that write a head or a whole body are this one, answerFailure and refuse; the two latter are reached after the first byte through answerFailure only, which breaks the connection off. Only the first answer of a case waits for the caller now: an answer that is not passed on has nothing to wait for.

--- a/internal/gateway/pieces_test.go
+++ b/internal/gateway/pieces_test.go
@@ -163,7 +163,8 @@
 // depending on how the upstream's bytes are divided into reads. The first answer of each case is
 // written at once, in two pieces that end at every position in turn, and byte by byte. The
 // input has a line for each event, which CUT ends if it is not complete, and a line of two dashes
-// between the answers. With the argument blind the upstream does not wait for the caller.
+// between the answers. With the argument blind the upstream does not wait for the caller, and with
+// raw the output has all bytes that the caller receives, and how its connection ends.
 func TestPieces(t *testing.T) {
 	datadriven.Walk(t, "testdata/pieces", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
@@ -211,7 +212,7 @@
 func newPieceAnswers(t *testing.T, data *datadriven.TestData) []*pieceAnswer {
 	var answers []*pieceAnswer
 	for i, part := range strings.Split("\n"+data.Input, "\n--") {
-		answer := &pieceAnswer{status: "200 OK", framing: "none", end: "whole"}
+		answer := &pieceAnswer{status: "200 OK", framing: "none", end: "whole", blind: true}
 		for _, arg := range data.CmdArgs {
 			if i >= len(arg.Vals) {
 				continue
@@ -241,7 +242,7 @@
 // askInPieces sends a request to a gateway with three upstreams and returns the response.
 func askInPieces(t *testing.T, data *datadriven.TestData, answers []*pieceAnswer) string {
 	upstream := &pieceUpstream{answers: answers, received: newReceivedBytes()}
-	resumable, protocol, last := true, "HTTP/1.1", ""
+	resumable, protocol, header := true, "HTTP/1.1", ""
 	for _, arg := range data.CmdArgs {
 		switch arg.Key {
 		case "once":
@@ -249,7 +250,9 @@
 		case "protocol":
 			protocol = arg.Vals[0]
 		case "last":
-			last = "Last: " + arg.Vals[0] + "\r\nOrigin: earlier\r\n"
+			header = "Last: " + arg.Vals[0] + "\r\nOrigin: earlier\r\n"
+		case "raw":
+			header = "Connection: close\r\n"
 		}
 	}
 	table := fleet.NewTable("z")
@@ -288,8 +291,12 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	_, _ = io.WriteString(conn, "POST / "+protocol+"\r\nHost: h.example\r\nId: r1\r\n"+last+"Content-Length: 0\r\n\r\n")
-	result := readInPieces(conn, upstream.received)
+	_, _ = io.WriteString(conn, "POST / "+protocol+"\r\nHost: h.example\r\nId: r1\r\n"+header+"Content-Length: 0\r\n\r\n")
+	read := readInPieces
+	if data.HasArg("raw") {
+		read = readRaw
+	}
+	result := read(conn, upstream.received)
 	upstream.lock.Lock()
 	defer upstream.lock.Unlock()
 	for _, send := range upstream.sends {
@@ -315,3 +322,27 @@
 	}
 	return fmt.Sprintf("%d %q whole=%t\n", response.StatusCode, body, errors.Is(err, io.EOF))
 }
+
+// readRaw reads all bytes from a connection, and removes the headers that vary.
+func readRaw(conn net.Conn, received *receivedBytes) string {
+	reader := bufio.NewReader(conn)
+	var out strings.Builder
+	inBody := false
+	for {
+		line, err := reader.ReadString('\n')
+		if name, _, _ := strings.Cut(line, ": "); name != "Date" {
+			out.WriteString(line)
+		}
+		if inBody {
+			received.add(len(line))
+		}
+		inBody = inBody || line == "\r\n"
+		if err != nil {
+			end := "closed"
+			if !errors.Is(err, io.EOF) {
+				end = "reset"
+			}
+			return fmt.Sprintf("%q %s\n", out.String(), end)
+		}
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -314,6 +314,12 @@
 		attempt.log("failure "+strconv.Itoa(response.StatusCode), nil)
 		return tryAnother
 	}
+	if call.committed {
+		// The caller has a part of a stream, which this response does not continue.
+		attempt.observe(fleet.Failed)
+		attempt.log("no continuation "+strconv.Itoa(response.StatusCode), nil)
+		return tryAnother
+	}
 	attempt.observe(fleet.Answered)
 	answerSeconds[call.kind()].UpdateDuration(call.start)
 	answer.write(call.writer)
