Reset the connections of HTTP/1.0 whose answer has broken off

What callers saw: with HTTP/1.0, which has no chunks, a stream that broke off ended with a regular close, as a complete one does; in the own deployments so did the answer of a plain service. Cause: the broken response was aborted by closing its connection, which only shows in an answer with chunks or a length. The class of the fault: an end that one framing of an answer shows and another does not. Change: package truncation makes the kernel reset such a connection unless the handler returns: SO_LINGER is 0 from the start of the answer, so this holds if the process is killed too. With TLS the connection is closed below it, since net/http ends the TLS connection in the regular way even after a panic. A response that could not be written whole to the caller is aborted too, and counted as such and not as answered. Why it works: a reset is no end of an answer to any reader.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -63,8 +63,10 @@
 type nextStep uint8
 
 const (
-	// finished means that the response was forwarded or that the caller has disconnected.
+	// finished means that the response was forwarded.
 	finished nextStep = iota
+	// abandoned means that a part of the response could not be written to the caller.
+	abandoned
 	// tryAnother means that another upstream may be tried.
 	tryAnother
 )
@@ -137,6 +139,10 @@
 			requestCounts.Inc(call.kind().String(), "answered")
 			return
 		}
+		if next == abandoned {
+			reason = "the response could not be written to the caller"
+			break
+		}
 		if !retry.Allowed(call.route, call.counts) {
 			reason = "the route allows no further send"
 			break
--- a/internal/gateway/pieces_test.go
+++ b/internal/gateway/pieces_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/truncation"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
@@ -284,7 +285,9 @@
 		Origins: knownOrigins{"earlier", origin.Origin{Service: "s", Software: "v1", Send: 1}},
 	})
 	defer closeGateway()
-	server := httptest.NewServer(gateway)
+	server := httptest.NewUnstartedServer(truncation.Handler(gateway))
+	server.Config.ConnContext = truncation.ConnContext
+	server.Start()
 	defer server.Close()
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -46,7 +46,7 @@
 		}
 		if len(whole) > 0 && !attempt.forwardEvents(response, whole, countEvents(events[:passed])) {
 			attempt.drop()
-			return finished
+			return abandoned
 		}
 		switch {
 		case !inOrder:
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -257,6 +257,14 @@
 	return count, err //nolint:wrapcheck // net/http looks at the error itself
 }
 
+// SetLinger sets what the end of the connection looks like, see truncation.Handler.
+func (conn *callerConn) SetLinger(seconds int) error {
+	if lingerer, ok := conn.Conn.(interface{ SetLinger(int) error }); ok {
+		return lingerer.SetLinger(seconds) //nolint:wrapcheck // the caller ignores it
+	}
+	return nil
+}
+
 // CloseWrite closes the write side of the connection. net/http calls it before Close, so
 // that the caller can read the last response.
 func (conn *callerConn) CloseWrite() error {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -17,6 +17,7 @@
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/telemetry"
+	"github.com/dandelionring/dandelionring/internal/truncation"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -117,7 +118,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler: entry.callerConns.closeAfterResponse(entry.gateway), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: truncation.Handler(entry.callerConns.closeAfterResponse(entry.gateway)), ConnContext: truncation.ConnContext, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: trackPhase, ErrorLog: entry.loggers.StandardLogger("callers"),
 	}
 	probes := &http.Server{Handler: http.HandlerFunc(entry.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallHeaderBytes, ErrorLog: entry.loggers.StandardLogger("ready")}
--- a/internal/vm/listen.go
+++ b/internal/vm/listen.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/internal/settings"
+	"github.com/dandelionring/dandelionring/internal/truncation"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -90,7 +91,10 @@
 // returned shutdown function stops accepting connections and waits for the requests in
 // flight. If its context ends first, it closes the server and returns an error.
 func serveHTTP(listener net.Listener, certificates *tls.Config, handler http.Handler) (shutdown func(context.Context) error) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: certificates}
+	server := &http.Server{
+		Handler: truncation.Handler(handler), ConnContext: truncation.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: certificates,
+	}
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
