Reject a continuation with another type or coding of content

What callers saw: a part of a body that is no event, such as an error in JSON with status 200, or compressed bytes, in the middle of a stream that went on and ended as complete. Cause: a continuation was told by its status alone; bytes up to an empty line pass as a comment. Change: the media type and the coding must be those of the head that the caller has; else another upstream may continue.

--- a/internal/gateway/pieces_test.go
+++ b/internal/gateway/pieces_test.go
@@ -68,6 +68,7 @@
 // pieceAnswer is an answer of an upstream that is written in pieces.
 type pieceAnswer struct {
 	status  string
+	header  string // the headers of its content
 	framing string // none, chunked or length
 	end     string // whole, close or reset
 	events  []string
@@ -81,7 +82,7 @@
 
 func (answer *pieceAnswer) write(conn net.Conn, received *receivedBytes) {
 	stream := strings.Join(answer.events, "")
-	head := "HTTP/1.1 " + answer.status + "\r\nSigned: 1\r\nContent-Type: text/event-stream\r\n"
+	head := "HTTP/1.1 " + answer.status + "\r\nSigned: 1\r\n" + answer.header + "\r\n"
 	switch answer.framing {
 	case "chunked":
 		head += "Transfer-Encoding: chunked\r\n"
@@ -213,7 +214,7 @@
 func newPieceAnswers(t *testing.T, data *datadriven.TestData) []*pieceAnswer {
 	var answers []*pieceAnswer
 	for i, part := range strings.Split("\n"+data.Input, "\n--") {
-		answer := &pieceAnswer{status: "200 OK", framing: "none", end: "whole", blind: true}
+		answer := &pieceAnswer{status: "200 OK", header: "Content-Type: text/event-stream", framing: "none", end: "whole", blind: true}
 		for _, arg := range data.CmdArgs {
 			if i >= len(arg.Vals) {
 				continue
@@ -223,6 +224,8 @@
 				answer.framing = arg.Vals[i]
 			case "end":
 				answer.end = arg.Vals[i]
+			case "header":
+				answer.header = strings.NewReplacer("_", " ", "|", "\r\n").Replace(arg.Vals[i])
 			case "status":
 				answer.status = strings.ReplaceAll(arg.Vals[i], "_", " ")
 			}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
@@ -28,6 +29,9 @@
 // could resume it.
 func (attempt *attempt) stream(ctx context.Context, response *http.Response) nextStep {
 	call := attempt.call
+	if call.committed && !sameContent(call.writer.Header(), response.Header) {
+		return attempt.rejectContinuation("other content")
+	}
 	memory, release := call.gateway.bodies.Reserve()
 	defer release()
 	splitter := eventSplitter{memory: memory}
@@ -50,7 +54,7 @@
 		}
 		switch {
 		case !inOrder:
-			return attempt.outOfOrder()
+			return attempt.rejectContinuation("event out of order")
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
@@ -184,14 +188,22 @@
 	return count
 }
 
-// outOfOrder handles an upstream that continues a stream with an event which the caller has.
-func (attempt *attempt) outOfOrder() nextStep {
+// rejectContinuation handles an upstream whose response does not continue the stream.
+func (attempt *attempt) rejectContinuation(reason string) nextStep {
 	attempt.drop()
 	attempt.observe(fleet.Failed)
-	attempt.log("event out of order", nil)
+	attempt.log(reason, nil)
 	return tryAnother
 }
 
+// sameContent reports whether the bodies of two responses have the same media type and coding.
+func sameContent(one, other http.Header) bool {
+	oneType, _, _ := strings.Cut(one.Get("Content-Type"), ";")
+	otherType, _, _ := strings.Cut(other.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(oneType), strings.TrimSpace(otherType)) &&
+		strings.EqualFold(one.Get("Content-Encoding"), other.Get("Content-Encoding"))
+}
+
 // headerID returns the ID of an event as a header carries it, and nil if none can.
 func headerID(id []byte) []byte {
 	id = bytes.TrimSpace(id)
