Take an empty success without a stated length for broken off

What callers saw: a 200 with an empty body and a length of 0, where the upstream had sent a head without a length or chunks and then closed its connection, as a process does that ends after the head. Cause: an answer without a length ends with its connection, also before its first byte; the gateway states the length that it has read. The own deployments passed such an answer of a service on as whole. The class of the fault: the end of a connection that stands for two things. Change: such a success without any byte counts as a broken answer; a server that has no body to send states a length of 0. Answers to HEAD, 204 and 304 have no body and are not concerned; nor are failures, whose status is what the caller needs. TestCuts cuts answers at every byte by a close, a reset and silence, on both clients of upstreams: informational responses before, length, chunks with extensions and trailers, none, streams, end markers. A body without a length that is cut by a regular close after its first byte cannot be told from a whole one.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -291,13 +292,16 @@
 func (attempt *attempt) forwardWhole(ctx context.Context, response *http.Response) nextStep {
 	call := attempt.call
 	body, err := h1.ReadAll(response.Body, int64(maxAnswerSize), call.memory)
+	if err == nil && len(body) == 0 && h1.MayBeCut(response) && response.StatusCode < http.StatusMultipleChoices {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		attempt.drop()
 		return attempt.connectionLost(ctx, "broken answer", err)
 	}
 	call.gateway.conns.Put(attempt.key, attempt.conn)
 	call.outcome = core.Ran
-	if framed(response) {
+	if !h1.MayBeCut(response) {
 		attempt.passed()
 	}
 	answer := &answer{status: response.StatusCode, header: response.Header, body: body}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -58,7 +58,7 @@
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
-		case err == io.EOF && splitter.AtBoundary() && (framed(response) || attempt.events > 0):
+		case err == io.EOF && splitter.AtBoundary() && (!h1.MayBeCut(response) || attempt.events > 0):
 			return attempt.finishStream(response)
 		default:
 			return attempt.streamBroken(ctx, err)
@@ -66,12 +66,6 @@
 	}
 }
 
-// framed reports whether the response states where its body ends. Otherwise the body ends with
-// the connection, and so does that of an upstream which crashes.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // forwardEvents writes count complete events to the caller, after the head of the first
 // response. It returns false if the caller has disconnected.
 func (attempt *attempt) forwardEvents(response *http.Response, whole []byte, count int) bool {
@@ -102,7 +96,7 @@
 	call := attempt.call
 	attempt.observe(fleet.Answered)
 	call.outcome = core.Ran
-	if attempt.events < passedEvents && framed(response) {
+	if attempt.events < passedEvents && !h1.MayBeCut(response) {
 		attempt.passed()
 	}
 	call.gateway.conns.Put(attempt.key, attempt.conn)
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -8,6 +8,13 @@
 	"github.com/go-faster/errors"
 )
 
+// MayBeCut reports whether the response does not state where its body ends. The body ends with
+// the connection then, and so does that of an upstream which crashes. A server that has no body to
+// send states its length, so such a body is not complete while it is empty.
+func MayBeCut(response *http.Response) bool {
+	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // maxDiscardedBytes bounds the body of a response that is read only to use the connection
 // again. A new connection costs less than a longer body.
 const maxDiscardedBytes = 64 << 10
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -86,7 +87,27 @@
 	idleTimer := time.AfterFunc(serviceTimeout, cancel)
 	defer idleTimer.Stop()
 	head := &core.Head{Status: response.StatusCode, Headers: EndToEndHeaders(response.Header), Upstream: upstream}
-	return relayBody(response.Body, call.Attempt, head, idleTimer, send)
+	var body io.Reader = response.Body
+	if call.Method != http.MethodHead && response.StatusCode < http.StatusMultipleChoices && h1.MayBeCut(response) {
+		body = &nonEmptyBody{Reader: body}
+	}
+	return relayBody(body, call.Attempt, head, idleTimer, send)
+}
+
+// nonEmptyBody is a body that is broken off if it ends without a byte.
+type nonEmptyBody struct {
+	io.Reader
+	begun bool
+}
+
+// Read reads from the body.
+func (body *nonEmptyBody) Read(buffer []byte) (int, error) {
+	count, err := body.Reader.Read(buffer)
+	body.begun = body.begun || count > 0
+	if !body.begun && errors.Is(err, io.EOF) {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return count, err //nolint:wrapcheck // the callers test for io.EOF
 }
 
 // relayBody passes on the body of an answer in chunks. The first chunk carries the head,
