Test what ends a stream in a planned stop and behind a slow head

Two paths that write to a connection after a stream has begun, and do not write into it: the planned stop ends the stream without a last chunk, or with a reset for HTTP/1.0, and the response to a slow head of the next request comes behind the whole answer. Nothing failed.

--- a/internal/gateway/pieces_test.go
+++ b/internal/gateway/pieces_test.go
@@ -29,6 +29,9 @@
 // receiveTimeout bounds the wait of an upstream until the caller has received what is complete.
 const receiveTimeout = 2 * time.Second
 
+// stopAfter is the time after which a gateway that stops ends its calls.
+const stopAfter = 500 * time.Millisecond
+
 // receivedBytes counts the bytes of a body that a caller has received.
 type receivedBytes struct {
 	lock sync.Mutex // no other lock is acquired while it is held
@@ -70,7 +73,7 @@
 	status  string
 	header  string // the headers of its content
 	framing string // none, chunked or length
-	end     string // whole, close or reset
+	end     string // whole, close, reset, or silence until the gateway closes the connection
 	events  []string
 	// ends holds the offsets at which the pieces end. The next piece is written once the caller
 	// has received the events that are complete, unless blind is set.
@@ -111,6 +114,8 @@
 	switch {
 	case answer.end == "reset":
 		_ = conn.(*net.TCPConn).SetLinger(0)
+	case answer.end == "silence":
+		_, _ = io.Copy(io.Discard, conn)
 	case answer.end == "whole" && answer.framing == "chunked":
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
@@ -166,7 +171,8 @@
 // written at once, in two pieces that end at every position in turn, and byte by byte. The
 // input has a line for each event, which CUT ends if it is not complete, and a line of two dashes
 // between the answers. With the argument blind the upstream does not wait for the caller, and with
-// raw the output has all bytes that the caller receives, and how its connection ends.
+// raw the output has all bytes that the caller receives, and how its connection ends. With stop the
+// gateway stops, and the first answer is only written at once.
 func TestPieces(t *testing.T) {
 	datadriven.Walk(t, "testdata/pieces", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
@@ -185,13 +191,19 @@
 	}
 	each := variant{"each byte", nil, true}
 	variants := []variant{{"none", nil, false}}
+	if data.HasArg("stop") {
+		size = 0
+	}
 	for at := 1; at < size; at++ {
 		variants = append(variants, variant{strconv.Itoa(at), []int{at}, false})
 		each.ends = append(each.ends, at)
 	}
 	var results []string
 	splits := make(map[string][]string)
-	for _, variant := range append(variants, each) {
+	if size > 0 {
+		variants = append(variants, each)
+	}
+	for _, variant := range variants {
 		answers := newPieceAnswers(t, data)
 		answers[0].ends, answers[0].blind = variant.ends, variant.blind || data.HasArg("blind")
 		result := askInPieces(t, data, answers)
@@ -292,6 +304,10 @@
 	server.Config.ConnContext = truncation.ConnContext
 	server.Start()
 	defer server.Close()
+	if data.HasArg("stop") {
+		now := time.Now()
+		defer gateway.Stop(now.Add(stopAfter), now.Add(stopAfter))()
+	}
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/callers_test.go
+++ b/internal/node/callers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/datadriven"
+	"github.com/matryer/is"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -113,3 +114,38 @@
 	}
 	return out.String()
 }
+
+// TestSlowHeadBehindStream guards against the response to a slow head that is written into the
+// answer to the request before it: the head of a next request stays incomplete for longer than
+// its timeout while a stream is written.
+func TestSlowHeadBehindStream(t *testing.T) {
+	const headTimeout = 50 * time.Millisecond
+	is := is.New(t)
+	conns := &callerConns{}
+	conns.setLimits(core.CallerLimits{HeaderTimeout: headTimeout, IdleTimeout: headTimeout})
+	listener, err := listen("127.0.0.1:0")
+	is.NoErr(err)
+	server := &http.Server{
+		ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, ConnState: trackPhase,
+		Handler: conns.closeAfterResponse(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(writer, "one ")
+			_ = http.NewResponseController(writer).Flush()
+			<-time.After(4 * headTimeout)
+			_, _ = io.WriteString(writer, "two")
+		})),
+	}
+	go func() { _ = server.Serve(callerListener{listener, conns}) }()
+	defer server.Close()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetReadDeadline(time.Now().Add(clientTimeout)))
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET / HTTP/1.1\r\nHo")
+	is.NoErr(err)
+	received, err := io.ReadAll(conn)
+	is.NoErr(err)
+	_, body, _ := strings.Cut(string(received), "\r\n\r\n")
+	answer, rest, _ := strings.Cut(body, "0\r\n\r\n")
+	is.Equal(answer, "4\r\none \r\n3\r\ntwo\r\n")
+	is.True(rest == "" || strings.HasPrefix(rest, "HTTP/1.1 4")) // the answer to the slow head is behind it
+}
