--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -263,11 +263,11 @@
 		if count > 0 {
 			if _, err := call.writer.Write(chunk[:count]); err != nil || controller.Flush() != nil {
 				pool.Drop(passing.key, passing.conn)
-				return finished
+				panic(http.ErrAbortHandler) // the caller has only a part of the stream
 			}
 		}
 		switch {
-		case err == io.EOF && framed(response): //nolint:errorlint // readers return io.EOF itself
+		case err == io.EOF && !h1.MayBeCut(response): //nolint:errorlint // readers return io.EOF itself
 			pool.Put(passing.key, passing.conn)
 			handovers.Inc("from", "answered")
 			return finished
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
@@ -28,6 +29,9 @@
 // could resume it.
 func (attempt *attempt) stream(ctx context.Context, response *http.Response) nextStep {
 	call := attempt.call
+	if call.committed && !sameContent(call.writer.Header(), response.Header) {
+		return attempt.rejectContinuation("other content")
+	}
 	memory, release := call.gateway.bodies.Reserve()
 	defer release()
 	splitter := eventSplitter{memory: memory}
@@ -49,15 +53,15 @@
 		}
 		if len(whole) > 0 && !attempt.forwardEvents(response, whole, countEvents(events[:passed])) {
 			attempt.drop()
-			return finished
+			return abandoned
 		}
 		switch {
 		case !inOrder:
-			return attempt.outOfOrder()
+			return attempt.rejectContinuation("event out of order")
 		case overBound != nil:
 			return attempt.streamBroken(ctx, overBound)
 		case err == nil:
-		case err == io.EOF && splitter.AtBoundary() && (framed(response) || attempt.events > 0):
+		case err == io.EOF && splitter.AtBoundary() && (!h1.MayBeCut(response) || attempt.events > 0):
 			return attempt.finishStream(response)
 		default:
 			return attempt.streamBroken(ctx, err)
@@ -65,12 +69,6 @@
 	}
 }
 
-// framed reports whether the response states where its body ends. Otherwise the body ends with
-// the connection, and so does that of an upstream which crashes.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // forwardEvents writes count complete events to the caller, after the head of the first
 // response. It returns false if the caller has disconnected.
 func (attempt *attempt) forwardEvents(response *http.Response, whole []byte, count int) bool {
@@ -101,7 +99,7 @@
 	call := attempt.call
 	attempt.observe(fleet.Answered)
 	call.outcome = core.Ran
-	if attempt.events < passedEvents && framed(response) {
+	if attempt.events < passedEvents && !h1.MayBeCut(response) {
 		attempt.passed()
 	}
 	call.gateway.conns.Put(attempt.key, attempt.conn)
@@ -187,14 +185,22 @@
 	return count
 }
 
-// outOfOrder handles an upstream that continues a stream with an event which the caller has.
-func (attempt *attempt) outOfOrder() nextStep {
+// rejectContinuation handles an upstream whose response does not continue the stream.
+func (attempt *attempt) rejectContinuation(reason string) nextStep {
 	attempt.drop()
 	attempt.observe(fleet.Failed)
-	attempt.log("event out of order", nil)
+	attempt.log(reason, nil)
 	return tryAnother
 }
 
+// sameContent reports whether the bodies of two responses have the same media type and coding.
+func sameContent(one, other http.Header) bool {
+	oneType, _, _ := strings.Cut(one.Get("Content-Type"), ";")
+	otherType, _, _ := strings.Cut(other.Get("Content-Type"), ";")
+	return strings.EqualFold(strings.TrimSpace(oneType), strings.TrimSpace(otherType)) &&
+		strings.EqualFold(one.Get("Content-Encoding"), other.Get("Content-Encoding"))
+}
+
 // headerID returns the ID of an event as a header carries it, and nil if none can.
 func headerID(id []byte) []byte {
 	id = bytes.TrimSpace(id)
--- a/internal/node/accepting.go
+++ b/internal/node/accepting.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/dandelionring/dandelionring/internal/truncation"
 )
 
 // accepting is a server with the connections that it accepts. The listener may be nil.
@@ -17,7 +19,7 @@
 // the timeouts of conns.
 func (entry *entry) newServer(conns *callerConns, handler http.Handler, name string) *http.Server {
 	return &http.Server{
-		Handler: conns.closeAfterResponse(handler), ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: truncation.Handler(conns.closeAfterResponse(handler)), ConnContext: truncation.ConnContext, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: trackPhase, ErrorLog: entry.loggers.StandardLogger(name),
 	}
 }
