Give up attempts that may be repeated when the path is lost

Callers saw: streams and repeatable requests that an upstream had received before a partition waited for the timeout of the connection, although their VM knew by then that it reaches no upstream. Cause: only new requests were handed over at once. Change: when the path to a service is lost, attempts of routes that may be repeated end and are handed over. Others wait for their answer as before. The case of a VM that cannot be reached used the port of a closed listener, which another listener of the test could get; it uses the local port of an open connection now. Result: two cases of TestHandover, of which the first fails without the change.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,6 +48,8 @@
 	records := &memoryRecorder{}
 	var targets []handover.Target
 	var hurries []string // the time that callers of earlier requests wait, in milliseconds
+	// later is set if the path is lost while the request waits for its first upstream.
+	later := false
 	for _, arg := range data.CmdArgs {
 		switch arg.Key {
 		case "kind":
@@ -55,6 +58,8 @@
 			attempts, _ = strconv.Atoi(arg.Vals[0])
 		case "patience":
 			patience, _ = strconv.Atoi(arg.Vals[0])
+		case "later":
+			later = true
 		case "hurries":
 			hurries = arg.Vals
 		case "targets":
@@ -70,7 +75,11 @@
 	table.SetHandoverTargets("control", targets)
 	gateway, closeGateway := New(handoverOptions(table, records))
 	t.Cleanup(closeGateway)
-	cutPath(gateway)
+	if later {
+		go cutAfterArrival(t, gateway, useSilentUpstream(t, table))
+	} else {
+		cutPath(gateway)
+	}
 	server := httptest.NewServer(gateway)
 	defer server.Close()
 	text := ""
@@ -112,6 +121,44 @@
 	})
 }
 
+// useSilentUpstream replaces the upstreams of a table by one that reads requests and answers
+// nothing, and returns a channel that gets a value when one has arrived.
+func useSilentUpstream(t *testing.T, table *fleet.Table) <-chan struct{} {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	for i := range 3 {
+		table.SetInstance(clock.Now(), core.Instance{
+			Upstream: core.UpstreamID(fmt.Sprint("u", i)), Born: 1, Sequence: 2, Service: "s", Software: "v1", Address: listener.Addr().String(), Zone: "z", Slots: 4,
+		})
+	}
+	arrived := make(chan struct{}, 1)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				arrived <- struct{}{}
+			}
+		}
+	}()
+	return arrived
+}
+
+// cutAfterArrival makes a gateway lose the path once a request has arrived.
+func cutAfterArrival(t *testing.T, gateway *Gateway, arrived <-chan struct{}) {
+	select {
+	case <-arrived:
+		cutPath(gateway)
+	case <-t.Context().Done():
+	}
+}
+
 // startTarget starts another VM that does what the name says, and returns its address.
 func startTarget(t *testing.T, does string, table *fleet.Table, records *memoryRecorder) string {
 	switch does {
@@ -136,11 +183,16 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		t.Cleanup(func() { listener.Close() })
 		if does == "down" {
-			listener.Close()
-			return listener.Addr().String()
+			// Nothing listens at the port of an open connection, and nothing else gets it.
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { conn.Close() })
+			return conn.LocalAddr().String()
 		}
-		t.Cleanup(func() { listener.Close() })
 		go serveFault(listener, does)
 		return listener.Addr().String()
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -108,6 +108,12 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if call.route.Repeatable() {
+		// Another VM takes the request over sooner than the connection times out.
+		reached, free := call.gateway.paths.whileReached(ctx, call.service)
+		defer free()
+		ctx = reached
+	}
 	if !attempt.begin(cancel) {
 		call.gateway.conns.Put(attempt.key, conn)
 		return tryAnother
