Keep connections to upstreams that are silent for a second

Callers saw: 502 or a broken stream although the upstream was sound, when its machine was silent for a moment. Cause: a set TCP_USER_TIMEOUT also decides when keep-alive probes give up. With 1.2 s the system closed a connection 2 s after the last byte if one probe was lost, which a silence of 0.4 s is enough for, and 1.6 s after a request whose first two transmissions were lost. Change: 2.5 s. A connection bears the loss of one probe, and a silence of 1.3 s after a request; one without any answer is closed after at most 3 s. Why it works: the path to all upstreams is given up by its own rule, from new connections, so the longer time delays no handover.

--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -20,8 +20,10 @@
 	// few milliseconds, and a lost SYN packet is sent again only after a second.
 	dialTimeout = 700 * time.Millisecond
 	// unacknowledgedTimeout is the time after which a connection is closed on which sent
-	// data or keep-alive probes are not acknowledged.
-	unacknowledgedTimeout = 1200 * time.Millisecond
+	// data or keep-alive probes are not acknowledged. The system sends data again after 0.2,
+	// 0.6 and 1.4 s and probes after 1 and 2 s, and looks at this time when the next one is due:
+	// with 1.2 s it closed the connections of sound machines that were silent for 0.4 s.
+	unacknowledgedTimeout = 2500 * time.Millisecond
 	// probeInterval is the time between two keep-alive probes of an idle connection.
 	probeInterval  = time.Second
 	readBufferSize = 4 << 10
