Decline requests that an older route table would answer

Cause: a VM that takes a request over matches it with its own route table. If it is cut off from the control VMs, that may be an older one than that of the VM that hands over, which the caller relies on. It also counted headers that the first VM had added against the limit for callers.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -147,7 +147,8 @@
 		call.refuse(http.StatusServiceUnavailable, "no route table is in force")
 		return
 	}
-	if limit := index.Table().Limits.HeaderBytes; limit > 0 && headSize(incoming) > limit {
+	// The VM that has handed a request over has checked its head, and may have added to it.
+	if limit := index.Table().Limits.HeaderBytes; limit > 0 && !call.takenOver && headSize(incoming) > limit {
 		call.refuse(http.StatusRequestHeaderFieldsTooLarge, "the head of the request is over the limit")
 		return
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -41,10 +41,11 @@
 const (
 	// handoverHeader holds what the first VM did with the request: its sends, those that may
 	// have run, whether it has counted the request in its retry budget, whether it has taken
-	// the next send from that budget, and the number of its last attempt.
+	// the next send from that budget, the number of its last attempt, and that of its route
+	// table: a VM with an older one must not answer for it.
 	handoverHeader = "Handover-Counts"
-	// declinedHeader is set in the answer of a VM that has not sent the request to an upstream
-	// and does not reach any.
+	// declinedHeader is set in the answer of a VM that has not sent the request to an upstream,
+	// since it does not reach any, ends, or has an older route table.
 	declinedHeader = "Handover-Declined"
 )
 
@@ -173,7 +174,7 @@
 		resume = Resumption{LastEvent: call.lastEvent, Origin: call.request.ID}
 	}
 	header := call.gateway.options.Dialect.HandoverHeaders(call.incoming.Header, time.Until(call.deadline)-handoverMargin, resume)
-	header[handoverHeader] = []string{fmt.Sprint(counts.Sends, counts.Runs, call.counted, call.paid, call.attemptNumber())}
+	header[handoverHeader] = []string{fmt.Sprint(counts.Sends, counts.Runs, call.counted, call.paid, call.attemptNumber(), uint64(call.tableNumber))}
 	return requestHead(call.incoming, header, len(call.body))
 }
 
