--- a/standin/rig/process.go
+++ b/standin/rig/process.go
@@ -145,7 +145,8 @@
 	case <-ctx.Done():
 	case <-exited:
 	case <-timer.C:
-		<-process.signal(syscall.SIGKILL)
 	}
+	// Also at the end of a play: the end must not look like one of the process itself.
+	<-process.signal(syscall.SIGKILL)
 	pause(ctx, length)
 }
