Reject an answer that is no stream as the continuation of one

What callers saw: a stream that goes on at a second upstream which answers with a status other than 200, such as 404 or 202, has the body of that answer behind its events, and ends as complete. Cause: forwardWhole writes its answer whatever the caller has received before. Only server errors and statuses that imply that the request has not run were kept back. Change: if the head was sent to the caller, such an answer counts as a failed send, and the next upstream continues. TestPieces/refusals before the change: "id: 1\ndata: a\n\ngone\n", whole, at every division into reads; after it, the test passes.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -314,6 +314,12 @@
 		attempt.log("failure "+strconv.Itoa(response.StatusCode), nil)
 		return tryAnother
 	}
+	if call.committed {
+		// The caller has a part of a stream, which the body of another answer does not continue.
+		attempt.observe(fleet.Failed)
+		attempt.log("no stream "+strconv.Itoa(response.StatusCode), nil)
+		return tryAnother
+	}
 	attempt.observe(fleet.Answered)
 	answerSeconds[call.kind()].UpdateDuration(call.start)
 	answer.write(call.writer)
