Test mechanisms of streams and repeats that could be taken out unseen

Cause: with one of these mechanisms taken out, every test of its package still passed: the end of single credits of retry.Budget, the start of the process and the number of VMs that the gateway hands to the budget, the bound of one event, and the bound and the characters of an ID. Change: a case or test for each. The scripts of the gateway get arguments for the budget beside the ratio, the number of VMs and the age of the process.

--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -49,3 +50,18 @@
 	is.NoErr(err)
 	is.Equal(string(whole), usual)
 }
+
+// TestEventBound guards against an event without end that takes the gateway's memory for bodies,
+// and against the loss of the events before it.
+func TestEventBound(t *testing.T) {
+	is := is.New(t)
+	const before = "id: 1\ndata: a\n\n"
+	for _, size := range []int{maxEventBytes, maxEventBytes + 1} {
+		splitter := eventSplitter{}
+		whole, events, err := splitter.split([]byte(before + strings.Repeat("x", size)))
+		is.Equal(string(whole), before)
+		is.Equal(len(events), 1)
+		var bound *h1.BoundError
+		is.Equal(errors.As(err, &bound), size > maxEventBytes)
+	}
+}
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -252,6 +252,14 @@
 	})
 }
 
+func parseSpan(t *testing.T, text string) time.Duration {
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return span
+}
+
 // runCase sends one request, as many as the argument requests states, or one with each ID of
 // the argument ids. The input holds
 // the responses of the upstreams, separated by lines of two dashes. A line feed becomes
@@ -264,7 +272,7 @@
 			upstreams.answers = append(upstreams.answers, strings.ReplaceAll(part, `\n`, "\n"))
 		}
 	}
-	count, kind, attempts := 3, "idempotent", 2
+	count, kind, attempts, vms, age := 3, "idempotent", 2, 1, time.Duration(0)
 	ids := []string{"r1"}
 	records := &memoryRecorder{}
 	header := make(map[string]string)
@@ -322,15 +330,19 @@
 			records.full = len(arg.Vals) > 0 && arg.Vals[0] == "full"
 		case "ratio":
 			options.Repeats.Ratio, _ = strconv.ParseFloat(arg.Vals[0], 64)
+		case "extra":
+			options.Repeats.Extra, _ = strconv.ParseFloat(arg.Vals[0], 64)
+		case "window":
+			options.Repeats.Window = parseSpan(t, arg.Vals[0])
+		case "vms":
+			vms, _ = strconv.Atoi(arg.Vals[0])
+		case "age": // the time between the start of the gateway and the first request
+			age = parseSpan(t, arg.Vals[0])
 		case "attempts":
 			attempts, _ = strconv.Atoi(arg.Vals[0])
 		case "stop": // the time until late requests are refused, and that until the end
 			for i, value := range arg.Vals {
-				span, err := time.ParseDuration(value)
-				if err != nil {
-					t.Fatal(err)
-				}
-				stop[i] = time.Now().Add(span)
+				stop[i] = time.Now().Add(parseSpan(t, value))
 			}
 		}
 	}
@@ -340,9 +352,11 @@
 		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kinds[kind], Resumable: kind == "resumable", Timeout: 2 * pauseTime, MaxAttempts: attempts,
 		Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
 	}}, Services: []core.ServiceSpec{{Service: "s"}}})
+	table.SetEntryVMs(vms)
 	options.Table = table
 	gateway, closeGateway := New(options)
 	defer closeGateway()
+	time.Sleep(age)
 	if !stop[1].IsZero() {
 		defer gateway.Stop(stop[0], stop[1])()
 	}
