--- a/pkg/policy/conviction/script_test.go
+++ b/pkg/policy/conviction/script_test.go
@@ -22,7 +22,7 @@
 // the conviction of content that sound requests have too or that several upstreams were
 // lost with by another cause.
 func TestScripts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/scripts", func(t *testing.T, path string) {
 		script := &script{bans: Bans{VM: "entry"}}
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			var at, age, left time.Duration
