Count requests for repeats when their head is read, and expect slower ways

A burst whose requests were read late and repeated at the end of their credit could break the budget of the operators by 46 repeats in the model, if no traffic followed. Cause: the credit of a request began after its body and the first route table had arrived, up to the timeout of the route later, and its margin of 1 s was below the time until a request is read and that of a new connection together. Change: the time at which the head was read counts, and the margin is 1.5 s. A window that is not positive allows no repeats; one of less than 20 ns no longer divides by zero. Why it works: between the send by a caller and the read of the head lies only the network and the queue of the kernel, and a connection opens within 0.7 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,7 +187,7 @@
 	}
 	if !call.counted {
 		call.counted = true
-		call.gateway.countRequest(call.service)
+		call.gateway.countRequest(call.service, call.start)
 	}
 	return ""
 }
@@ -238,11 +238,13 @@
 	return budget
 }
 
-// countRequest adds one request to the retry budget of a service.
-func (gateway *Gateway) countRequest(service core.ServiceID) {
+// countRequest adds one request to the retry budget of a service, at the time at which its head
+// was read: its body and the first route table may take longer than the budget allows for.
+func (gateway *Gateway) countRequest(service core.ServiceID, start time.Time) {
+	at := clock.Now() - time.Since(start)
 	gateway.lock.Lock()
 	defer gateway.lock.Unlock()
-	gateway.budget(service).AddRequest(clock.Now())
+	gateway.budget(service).AddRequest(at)
 }
 
 // allowRetry takes one retry from the retry budget of a service. It returns false if the
--- a/pkg/policy/retry/budget.go
+++ b/pkg/policy/retry/budget.go
@@ -9,9 +9,10 @@
 	// bucketsPerWindow is the number of buckets into which the window of a budget is divided.
 	bucketsPerWindow = 20
 	// marginBuckets is the number of buckets by which the credit of a request ends before its
-	// window has passed: callers have sent a request some time before it is counted, and a
-	// retry arrives some time after it was allowed, together at most 1 s of a window of 10 s.
-	marginBuckets = 2
+	// window has passed: callers have sent a request some time before its head is read, and a
+	// retry arrives some time after it was allowed, as a connection may take 0.7 s to open.
+	// Together these are at most 1.5 s of a window of 10 s.
+	marginBuckets = 3
 	// bucketCount is the number of buckets whose requests allow retries.
 	bucketCount = bucketsPerWindow - marginBuckets
 	// creditShare is the part of the ratio that each request allows in retries. The retries in
@@ -62,10 +63,13 @@
 	*budget = Budget{Started: budget.Started, limits: limits, extras: budget.extras}
 }
 
-// AddRequest counts one request of a caller.
-func (budget *Budget) AddRequest(now time.Duration) {
-	budget.advance(now)
-	budget.credits[budget.current%bucketCount] += creditShare * budget.limits.Ratio
+// AddRequest counts one request of a caller, whose head was read at the given time. The time may
+// be before that of other calls; a request whose credit would have ended gives none.
+func (budget *Budget) AddRequest(at time.Duration) {
+	budget.advance(at)
+	if bucket := budget.bucket(at); budget.current-bucket < bucketCount {
+		budget.credits[bucket%bucketCount] += creditShare * budget.limits.Ratio
+	}
 }
 
 // Allow takes the credit for one retry, from the oldest requests, and returns true. Without
@@ -98,7 +102,7 @@
 	// A retry that was allowed before may arrive up to the margin later.
 	window := budget.limits.Window * (bucketsPerWindow + marginBuckets) / bucketsPerWindow
 	// The process that ran here before may have used the share of the same window.
-	if now < budget.Started+window {
+	if budget.limits.Window <= 0 || now < budget.Started+window {
 		return false
 	}
 	budget.extras = slices.DeleteFunc(budget.extras, func(at time.Duration) bool { return at <= now-window })
@@ -110,12 +114,14 @@
 	return true
 }
 
+// bucket returns the number of the bucket of a time.
+func (budget *Budget) bucket(at time.Duration) int64 {
+	return int64(at / max(1, budget.limits.Window/bucketsPerWindow))
+}
+
 // advance moves to the bucket of the given time and ends the credits that are too old.
 func (budget *Budget) advance(now time.Duration) {
-	if budget.limits.Window <= 0 {
-		return
-	}
-	bucket := int64(now / (budget.limits.Window / bucketsPerWindow))
+	bucket := budget.bucket(now)
 	if bucket-budget.current >= bucketCount {
 		budget.credits, budget.current = [bucketCount]float64{}, bucket
 	}
--- a/pkg/policy/retry/orders_test.go
+++ b/pkg/policy/retry/orders_test.go
@@ -110,7 +110,7 @@
 				vms.late = time.Duration(rapid.IntRange(0, 600).Draw(t, "late")) * time.Millisecond
 				vms.request(vm, rapid.IntRange(1, 300).Draw(t, "requests"))
 			case "repeats":
-				vms.slow = time.Duration(rapid.IntRange(0, 400).Draw(t, "slow")) * time.Millisecond
+				vms.slow = time.Duration(rapid.IntRange(0, 900).Draw(t, "slow")) * time.Millisecond
 				vms.repeat(vm, rapid.IntRange(1, 300).Draw(t, "repeats"))
 			case "wait":
 				// Most faults show just before or after a window.
