--- a/standin/rig/callers.go
+++ b/standin/rig/callers.go
@@ -305,7 +305,7 @@
 		if result.events > 0 {
 			last = result.last
 			if origin == "" {
-				origin = call.requestID()
+				origin = call.record.Request
 			}
 		}
 		callers.count(task.route, outcome(result))
--- a/standin/rig/client.go
+++ b/standin/rig/client.go
@@ -14,8 +14,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
 // call is one attempt of a caller: a request on a connection to an entry VM.
@@ -220,6 +218,3 @@
 	}
 	return Ended
 }
-
-// requestID returns the ID of the attempt.
-func (call *call) requestID() core.RequestID { return call.record.Request }
--- a/standin/rig/links.go
+++ b/standin/rig/links.go
@@ -39,11 +39,11 @@
 // links changes the links to the upstreams that have a relay.
 type links struct {
 	client http.Client
-	// controls holds the addresses at which the relays take changes, by process.
-	controls map[string]UpstreamOptions
+	// upstreams holds the upstreams with a relay by process.
+	upstreams map[string]UpstreamOptions
 }
 
-// both are the links to and from an upstream, requests and answers one of them each.
+// both stands for the links to and from an upstream, requests and answers for one of them.
 var (
 	both     = relay.Change{From: []relay.Endpoint{vmEndpoint}, To: []relay.Endpoint{upstreamEndpoint}}
 	requests = relay.Change{From: []relay.Endpoint{vmEndpoint}, To: []relay.Endpoint{upstreamEndpoint}, OneWay: true}
@@ -56,7 +56,7 @@
 	if err != nil {
 		return // the bodies can be encoded
 	}
-	response, err := links.client.Post("http://"+links.controls[target].RelayControl+path, "application/json", bytes.NewReader(text))
+	response, err := links.client.Post("http://"+links.upstreams[target].RelayControl+path, "application/json", bytes.NewReader(text))
 	if err == nil {
 		response.Body.Close()
 	}
@@ -74,7 +74,7 @@
 
 // slow delays the links for some time.
 func (links *links) slow(ctx context.Context, target string, length time.Duration) {
-	options := links.controls[target]
+	options := links.upstreams[target]
 	route := relay.Route{From: vmEndpoint, To: upstreamEndpoint, Target: options.Listen}
 	route.DelayMicros = slowMicros
 	links.change(target, "/v1/routes", route)
