Do not count slow heads as a lost path

Cause: a response whose head was not received within its time counted as a loss of the path, although its bytes show that the upstream is reached. Change: only closed, reset and unacknowledged connections count. Result: the tests of the gateway pass with the race detector.

--- a/internal/gateway/path.go
+++ b/internal/gateway/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -155,9 +154,9 @@
 }
 
 // showsLoss reports whether an error of an established connection shows that the upstream was
-// not reached.
+// not reached. One that sends a head too slowly is.
 func showsLoss(err error) bool {
-	return closedByUpstream(err) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, os.ErrDeadlineExceeded)
+	return closedByUpstream(err) || errors.Is(err, syscall.ETIMEDOUT)
 }
 
 // probe opens connections to upstreams of a service, one after another, while the path to them
