Don't close a connection that carries the next request

A request that may run once got 502 although its upstream answered it, when the caller of an earlier request left, or its time ended, while the long answer to that one was still written. Cause: the connection returned to the pool before the answer was written, and the end of the earlier request closed it until the write had ended. That holds for connections to upstreams and to VMs that take requests over. Change: a request gives up the right to close a connection before it returns it to the pool; one that has ended by then drops it. Why it works: only the request that holds a connection can close it.

--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -93,6 +93,9 @@
 	target handover.Target
 	key    h1.Key
 	conn   *h1.Conn
+	// detach ends the time in which the end of the request closes conn. It returns false if conn
+	// was closed.
+	detach func() bool
 	// inTime is set if the target has the usual time to begin with the request.
 	inTime bool
 }
@@ -143,7 +146,8 @@
 		return passing.lost(ctx, "not connected", err)
 	}
 	passing.conn = conn
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	passing.detach = context.AfterFunc(ctx, func() { conn.Close() })
+	defer passing.detach()
 	counted := call.counts
 	head := passing.head(counted)
 	// Until the target says otherwise, it may have sent the request.
@@ -216,6 +220,17 @@
 	return tryAnother
 }
 
+// put returns the connection to the pool. It may carry another request while the answer is still
+// written to the caller, so the end of this request must not close it any more.
+func (passing *passing) put() {
+	pool := &passing.call.gateway.handovers.conns
+	if !passing.detach() {
+		pool.Drop(passing.key, passing.conn)
+		return
+	}
+	pool.Put(passing.key, passing.conn)
+}
+
 // declined notes that the target does not reach the upstreams either.
 func (passing *passing) declined(response *http.Response) nextStep {
 	handovers.Inc("from", "declined")
@@ -224,7 +239,7 @@
 	if err := h1.Discard(response); err != nil {
 		gateway.handovers.conns.Drop(passing.key, passing.conn)
 	} else {
-		gateway.handovers.conns.Put(passing.key, passing.conn)
+		passing.put()
 	}
 	return tryAnother
 }
@@ -240,7 +255,7 @@
 		pool.Drop(passing.key, passing.conn)
 		return passing.fail(ctx, "broken answer", err)
 	}
-	pool.Put(passing.key, passing.conn)
+	passing.put()
 	handovers.Inc("from", "answered")
 	if call.committed {
 		return tryAnother // the answer that has begun cannot become a failure
@@ -269,7 +284,7 @@
 		}
 		switch {
 		case err == io.EOF && !h1.MayBeCut(response): //nolint:errorlint // readers return io.EOF itself
-			pool.Put(passing.key, passing.conn)
+			passing.put()
 			handovers.Inc("from", "answered")
 			return finished
 		case err != nil:
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -58,6 +58,9 @@
 	heardAt time.Duration
 	// release ends the time in which the send is cancelled if its content is convicted.
 	release func()
+	// detach ends the time in which the end of the request closes conn. It returns false if conn
+	// was closed.
+	detach func() bool
 }
 
 // passed reports that the upstream has answered the request, or goes on after it has begun
@@ -122,8 +125,8 @@
 		return tryAnother
 	}
 	defer attempt.release()
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	defer stop()
+	attempt.detach = context.AfterFunc(ctx, func() { conn.Close() })
+	defer attempt.detach()
 	return attempt.exchange(ctx)
 }
 
@@ -211,6 +214,16 @@
 	}
 }
 
+// put returns the connection to the pool. It may carry another request while the answer is still
+// written to the caller, so the end of this request must not close it any more.
+func (attempt *attempt) put() {
+	if !attempt.detach() {
+		attempt.drop()
+		return
+	}
+	attempt.call.gateway.conns.Put(attempt.key, attempt.conn)
+}
+
 // drop closes the connection and removes it from the pool.
 func (attempt *attempt) drop() {
 	attempt.call.gateway.conns.Drop(attempt.key, attempt.conn)
@@ -357,7 +370,7 @@
 	if err := h1.Discard(response); err != nil {
 		attempt.drop()
 	} else {
-		call.gateway.conns.Put(attempt.key, attempt.conn)
+		attempt.put()
 	}
 	if !info.Misdirected {
 		attempt.observe(fleet.Failed)
@@ -377,7 +390,7 @@
 		attempt.drop()
 		return attempt.connectionLost(ctx, "broken answer", err)
 	}
-	call.gateway.conns.Put(attempt.key, attempt.conn)
+	attempt.put()
 	call.outcome = core.Ran
 	if !h1.MayBeCut(response) {
 		attempt.passed()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,7 +102,7 @@
 	if attempt.events < passedEvents && !h1.MayBeCut(response) {
 		attempt.passed()
 	}
-	call.gateway.conns.Put(attempt.key, attempt.conn)
+	attempt.put()
 	if !call.committed { // a stream without events
 		copyEndToEnd(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
