Don't hand over what comes twice: events without IDs and paid repeats

A stream that had lost its upstreams began again at another VM, behind events that its caller had, and one repeat of the budget paid for two VMs. Cause: the check whether an ID shows what the caller has came only before a send, not before a handover, so the other VM took the stream for a new one. The repeat was taken once before the VMs were asked, and the next one got it too after one that may have used it. Change: a stream without a position is broken off. A repeat is paid for each VM, and only a VM that declines gives it back. Result: TestHandover has a stream whose event has no ID (before: "data: a" and then the whole stream; now broken off), one whose event has an ID, which goes on as before, and a budget of one repeat (before: a second VM sent; now 502). TestHandover and TestReuse pass, as does the package.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -128,6 +128,10 @@
 		state, turn := call.gateway.paths.enter(service)
 		if state == reach.Cut || call.needsOpen {
 			call.gateway.paths.leave(service, turn)
+			if call.lostPosition() {
+				reason = unknownEvent
+				break
+			}
 			runs := call.counts.Runs
 			if call.leaveToOthers(ctx) == finished {
 				return
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -106,8 +106,6 @@
 func (call *call) handOver(ctx context.Context) nextStep {
 	gateway := call.gateway
 	targets := gateway.options.Table.HandoverTargets()
-	// The share of a VM that sends nothing itself is free.
-	call.paid = call.paid || call.counts.Sends > 0 && len(targets) > 0 && gateway.allowRetry(call.service)
 	var tried []core.VMID
 	for range maxHandovers {
 		if time.Until(call.deadline) < handoverMargin {
@@ -118,6 +116,8 @@
 			break
 		}
 		tried = append(tried, target.VM)
+		// The share of a VM that sends nothing itself is free.
+		call.paid = call.paid || call.counts.Sends > 0 && gateway.allowRetry(call.service)
 		next := call.handTo(ctx, target)
 		if next == finished || call.counts.Runs > 0 && !retry.Allowed(call.route, call.counts) {
 			return next
@@ -148,9 +148,10 @@
 	passing.conn = conn
 	passing.detach = context.AfterFunc(ctx, func() { conn.Close() })
 	defer passing.detach()
-	counted := call.counts
+	counted, paid := call.counts, call.paid
 	head := passing.head(counted)
-	// Until the target says otherwise, it may have sent the request.
+	// Until the target says otherwise, it may have sent the request, and used what was paid.
+	call.paid = false
 	call.counts.Sends++
 	call.counts.Runs++
 	call.attemptsBefore += attemptsOfTarget
@@ -164,7 +165,7 @@
 		return passing.lost(ctx, "no answer", err)
 	}
 	if response.Header.Get(declinedHeader) != "" {
-		call.counts, call.attemptsBefore = counted, call.attemptsBefore-attemptsOfTarget
+		call.counts, call.paid, call.attemptsBefore = counted, paid, call.attemptsBefore-attemptsOfTarget
 		return passing.declined(response)
 	}
 	return passing.forward(ctx, response)
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -20,6 +20,7 @@
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/handover"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/reach"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -48,8 +49,10 @@
 	records := &memoryRecorder{}
 	var targets []handover.Target
 	var hurries []string // the time that callers of earlier requests wait, in milliseconds
-	// later is set if the path is lost while the request waits for its first upstream.
-	later := false
+	// later is set if the path is lost while the request waits for its first upstream, which has
+	// written begun.
+	later, begun := false, ""
+	ratio := 10.0 // repeats for each request
 	for _, arg := range data.CmdArgs {
 		switch arg.Key {
 		case "kind":
@@ -60,6 +63,11 @@
 			patience, _ = strconv.Atoi(arg.Vals[0])
 		case "later":
 			later = true
+			if len(arg.Vals) > 0 {
+				begun = begunStreams[arg.Vals[0]]
+			}
+		case "ratio":
+			ratio, _ = strconv.ParseFloat(arg.Vals[0], 64)
 		case "hurries":
 			hurries = arg.Vals
 		case "targets":
@@ -73,10 +81,12 @@
 	}
 	table := routedTable(&scriptedUpstreams{}, t, kind, attempts, "")
 	table.SetHandoverTargets("control", targets)
-	gateway, closeGateway := New(handoverOptions(table, records))
+	options := handoverOptions(table, records)
+	options.Repeats.Ratio = ratio
+	gateway, closeGateway := New(options)
 	t.Cleanup(closeGateway)
 	if later {
-		go cutAfterArrival(t, gateway, useSilentUpstream(t, table))
+		go cutAfterArrival(t, gateway, useSilentUpstream(t, table, begun))
 	} else {
 		cutPath(gateway)
 	}
@@ -113,7 +123,10 @@
 }
 
 func handoverOptions(table *fleet.Table, records *memoryRecorder) Options {
-	return Options{Table: table, Dialect: testDialect{}, Recorder: records, Repeats: retry.Limits{Ratio: 10, Window: 10 * time.Second}, Logger: log.New(io.Discard)}
+	return Options{
+		Table: table, Dialect: testDialect{}, Recorder: records, Repeats: retry.Limits{Ratio: 10, Window: 10 * time.Second}, Logger: log.New(io.Discard),
+		Origins: knownOrigins{"r1", origin.Origin{Service: "s", Software: "v1", Send: 1}},
+	}
 }
 
 // cutPath makes a gateway believe that it reaches no upstream of the service. It does not probe.
@@ -126,9 +139,17 @@
 	})
 }
 
+// beginHead is the head of a stream, and begunStreams holds streams of one event that have no end.
+const beginHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+var begunStreams = map[string]string{
+	"named":   beginHead + "f\r\nid: 1\ndata: a\n\n\r\n",
+	"unnamed": beginHead + "9\r\ndata: a\n\n\r\n",
+}
+
 // useSilentUpstream replaces the upstreams of a table by one that reads requests and answers
-// nothing, and returns a channel that gets a value when one has arrived.
-func useSilentUpstream(t *testing.T, table *fleet.Table) <-chan struct{} {
+// only what is given, and returns a channel that gets a value when one has arrived.
+func useSilentUpstream(t *testing.T, table *fleet.Table, begun string) <-chan struct{} {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -148,6 +169,7 @@
 			}
 			defer conn.Close()
 			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				_, _ = io.WriteString(conn, begun)
 				arrived <- struct{}{}
 			}
 		}
@@ -159,6 +181,7 @@
 func cutAfterArrival(t *testing.T, gateway *Gateway, arrived <-chan struct{}) {
 	select {
 	case <-arrived:
+		<-time.After(100 * time.Millisecond) // the caller has what the upstream has written
 		cutPath(gateway)
 	case <-t.Context().Done():
 	}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -114,13 +114,17 @@
 	switch {
 	case !call.origin().Possible():
 		return unknownSoftware
-	case call.events > 0 && call.position.ID() == "":
+	case call.lostPosition():
 		return unknownEvent
 	default:
 		return ""
 	}
 }
 
+// lostPosition reports whether no ID shows which events of this answer the caller has. Any upstream
+// would send them once more.
+func (call *call) lostPosition() bool { return call.events > 0 && call.position.ID() == "" }
+
 // noteBeginning stores the origin of the stream at its first event, for the caller's next
 // request.
 func (attempt *attempt) noteBeginning() {
