Don't take a path for lost because one upstream refuses a probe

A service that answered all the while was cut off on a VM, its requests in flight were given up and repeated at other VMs, because one of its upstreams had just ended while another service had lost its path. Cause: the loss of one path makes all others suspect, and the first probe that fails confirms that. A refusal takes less than a millisecond, so no answer comes in between that would clear the suspicion. Change: a refused probe confirms only if two upstreams have failed, or the only one. Probes that time out confirm as before: they leave 0.7 s for an answer. Why it works: the next probe goes to an upstream that has not failed, 200 ms later, and any answer until then ends the suspicion. Result: the script of a doubt with one refused probe was "cut", then "returning", and is "suspect", then "open". The other scripts are unchanged, and TestVMWithoutUpstreams passes.

--- a/pkg/policy/reach/service.go
+++ b/pkg/policy/reach/service.go
@@ -72,6 +72,9 @@
 	// returnFailures is the number of upstreams whose failure without an answer between them
 	// ends the return. One may have ended meanwhile.
 	returnFailures = 2
+	// refusedProbes is the number of upstreams that must have failed when a probe is refused, for
+	// the path to be lost.
+	refusedProbes = 2
 )
 
 // failures counts the failures since the last evidence to the contrary, by upstream. The zero
@@ -262,11 +265,14 @@
 	return known[service.probes%len(known)]
 }
 
-// ProbeFailed notes that a probe has not reached its upstream. It confirms a suspicion.
+// ProbeFailed notes that a probe has not reached its upstream. It confirms a suspicion, unless it
+// was refused and no other upstream has failed: the process there may have ended, and a refusal
+// leaves no time for an answer of another one.
 func (service *Service) ProbeFailed(now time.Duration, failure Failure) {
 	confirms := service.state == Suspect && failure.Began >= service.answeredAt
 	service.Failed(now, failure)
-	if confirms && service.state == Suspect {
+	enough := failure.Kind != Refused || len(service.unreached.upstreams) >= min(refusedProbes, max(1, failure.Known))
+	if confirms && enough && service.state == Suspect {
 		service.cut(now)
 	}
 }
