Test mechanisms of the handover that could be taken out unseen

TestHandover passed without each of these: that a VM does not decline after a send of its own, that it declines after sends of the first VM only, that it declines while it stops, that it says at once that it has begun, and that the limit for heads does not apply to what the first VM has added. Cause: no VM lost its path after a send or was asked after one, the VM that stops stood where another one was chosen before it and would have served, and no upstream took longer than acceptTimeout. Change: cases for each; the VM that stops would refuse the request.

--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -115,7 +115,10 @@
 	}
 	kinds := map[string]core.RouteKind{"idempotent": core.Idempotent, "non-idempotent": core.NonIdempotent, "stream": core.Stream, "resumable": core.Stream}
 	table := upstreams.start(t, 3)
-	table.SetRoutes(core.RouteTable{Number: number, Routes: []core.Route{{
+	// The head of the caller's request is below the limit, and that with the headers for another VM
+	// is not.
+	limits := core.CallerLimits{HeaderBytes: 140}
+	table.SetRoutes(core.RouteTable{Number: number, Limits: limits, Routes: []core.Route{{
 		Name: "r", Host: "h.example", Prefix: "/p/", Kind: kinds[kind], Resumable: kind == "resumable", Timeout: 4 * time.Second, MaxAttempts: attempts,
 		Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
 	}}, Services: []core.ServiceSpec{{Service: "s"}}})
@@ -190,14 +193,17 @@
 // startTarget starts another VM that does what the name says, and returns its address.
 func startTarget(t *testing.T, does string, table *fleet.Table, records *memoryRecorder) string {
 	switch does {
-	case "serves", "cut", "stops", "slow", "old":
+	case "serves", "cut", "stops", "slow", "old", "loses":
 		gateway, closeGateway := New(handoverOptions(table, records))
 		t.Cleanup(closeGateway)
 		if does == "cut" {
 			cutPath(gateway)
 		}
+		if does == "loses" {
+			go cutAfterArrival(t, gateway, useSilentUpstream(t, table, ""))
+		}
 		if does == "stops" {
-			t.Cleanup(gateway.Stop(time.Now(), time.Now().Add(time.Minute)))
+			t.Cleanup(gateway.Stop(time.Now(), time.Now().Add(time.Second)))
 		}
 		handler := gateway.Takeover()
 		if does == "slow" {
