--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -93,6 +93,9 @@
 	target handover.Target
 	key    h1.Key
 	conn   *h1.Conn
+	// detach ends the time in which the end of the request closes conn. It returns false if conn
+	// was closed.
+	detach func() bool
 	// inTime is set if the target has the usual time to begin with the request.
 	inTime bool
 }
@@ -103,8 +106,6 @@
 func (call *call) handOver(ctx context.Context) nextStep {
 	gateway := call.gateway
 	targets := gateway.options.Table.HandoverTargets()
-	// The share of a VM that sends nothing itself is free.
-	call.paid = call.paid || call.counts.Sends > 0 && len(targets) > 0 && gateway.allowRetry(call.service)
 	var tried []core.VMID
 	for range maxHandovers {
 		if time.Until(call.deadline) < handoverMargin {
@@ -115,6 +116,8 @@
 			break
 		}
 		tried = append(tried, target.VM)
+		// The share of a VM that sends nothing itself is free.
+		call.paid = call.paid || call.counts.Sends > 0 && gateway.allowRetry(call.service)
 		next := call.handTo(ctx, target)
 		if next == finished || call.counts.Runs > 0 && !retry.Allowed(call.route, call.counts) {
 			return next
@@ -143,10 +146,12 @@
 		return passing.lost(ctx, "not connected", err)
 	}
 	passing.conn = conn
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	counted := call.counts
+	passing.detach = context.AfterFunc(ctx, func() { conn.Close() })
+	defer passing.detach()
+	counted, paid := call.counts, call.paid
 	head := passing.head(counted)
-	// Until the target says otherwise, it may have sent the request.
+	// Until the target says otherwise, it may have sent the request, and used what was paid.
+	call.paid = false
 	call.counts.Sends++
 	call.counts.Runs++
 	call.attemptsBefore += attemptsOfTarget
@@ -160,7 +165,7 @@
 		return passing.lost(ctx, "no answer", err)
 	}
 	if response.Header.Get(declinedHeader) != "" {
-		call.counts, call.attemptsBefore = counted, call.attemptsBefore-attemptsOfTarget
+		call.counts, call.paid, call.attemptsBefore = counted, paid, call.attemptsBefore-attemptsOfTarget
 		return passing.declined(response)
 	}
 	return passing.forward(ctx, response)
@@ -216,6 +221,17 @@
 	return tryAnother
 }
 
+// put returns the connection to the pool. It may carry another request while the answer is still
+// written to the caller, so the end of this request must not close it any more.
+func (passing *passing) put() {
+	pool := &passing.call.gateway.handovers.conns
+	if !passing.detach() {
+		pool.Drop(passing.key, passing.conn)
+		return
+	}
+	pool.Put(passing.key, passing.conn)
+}
+
 // declined notes that the target does not reach the upstreams either.
 func (passing *passing) declined(response *http.Response) nextStep {
 	handovers.Inc("from", "declined")
@@ -224,7 +240,7 @@
 	if err := h1.Discard(response); err != nil {
 		gateway.handovers.conns.Drop(passing.key, passing.conn)
 	} else {
-		gateway.handovers.conns.Put(passing.key, passing.conn)
+		passing.put()
 	}
 	return tryAnother
 }
@@ -240,7 +256,7 @@
 		pool.Drop(passing.key, passing.conn)
 		return passing.fail(ctx, "broken answer", err)
 	}
-	pool.Put(passing.key, passing.conn)
+	passing.put()
 	handovers.Inc("from", "answered")
 	if call.committed {
 		return tryAnother // the answer that has begun cannot become a failure
@@ -269,7 +285,7 @@
 		}
 		switch {
 		case err == io.EOF && !h1.MayBeCut(response): //nolint:errorlint // readers return io.EOF itself
-			pool.Put(passing.key, passing.conn)
+			passing.put()
 			handovers.Inc("from", "answered")
 			return finished
 		case err != nil:
