--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -372,7 +372,7 @@
 	options.Table = table
 	gateway, closeGateway := New(options)
 	defer closeGateway()
-	time.Sleep(age)
+	<-time.After(age)
 	if !stop[1].IsZero() {
 		defer gateway.Stop(stop[0], stop[1])()
 	}
--- a/internal/vm/durable_test.go
+++ b/internal/vm/durable_test.go
@@ -43,7 +43,7 @@
 	is.True(receive())
 	is.True(!receive())
 	is.NoErr(os.Remove(obstacle))
-	for end := time.Now().Add(5 * time.Second); !receive(); time.Sleep(50 * time.Millisecond) {
+	for end := time.Now().Add(5 * time.Second); !receive(); <-time.After(50 * time.Millisecond) {
 		is.True(time.Now().Before(end))
 	}
 }
