Bound the trials of convicted content over all VMs, and cut a path off after two probes

One probe that timed out, while the process waited for a processor, cut off a service that was in doubt only for another service's loss. Change: the control VMs name the entry VM that carries out the trials, by rendezvous hashing, and a VM that starts again skips the trials whose time has passed. A probe that times out needs another failure to cut the path.

--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -139,7 +139,10 @@
 }
 
 // countEntryVMs returns the number of entry VMs that watch this one.
-func (hub *hub) countEntryVMs() int {
+func (hub *hub) countEntryVMs() int { return len(hub.entryVMs()) }
+
+// entryVMs returns the entry VMs that watch this one.
+func (hub *hub) entryVMs() []core.VMID {
 	hub.lock.Lock()
 	defer hub.lock.Unlock()
 	vms := make(map[core.VMID]bool)
@@ -148,7 +151,7 @@
 			vms[subscriber.vm] = true
 		}
 	}
-	return len(vms)
+	return slices.Collect(maps.Keys(vms))
 }
 
 // publishInstance queues the present state of an upstream for all subscribers.
@@ -281,8 +284,12 @@
 	for _, limit := range pending.limits {
 		event.Limits = append(event.Limits, peer.StatedLimitMessage(limit))
 	}
-	for _, verdict := range pending.verdicts {
-		event.Verdicts = append(event.Verdicts, peer.VerdictMessage(verdict))
+	if len(pending.verdicts) > 0 {
+		vms := control.hub.entryVMs()
+		for _, verdict := range pending.verdicts {
+			verdict.Trier = conviction.ChooseTrier(verdict.Trait, vms)
+			event.Verdicts = append(event.Verdicts, peer.VerdictMessage(verdict))
+		}
 	}
 	for _, instance := range pending.instances {
 		event.Instances = append(event.Instances, peer.InstanceMessage(instance))
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -41,10 +41,9 @@
 // Refuse returns true and the time until the refusal ends if a request has content that
 // crashes upstreams.
 func (follower *Follower) Refuse(request conviction.Request) (time.Duration, bool) {
-	vms := follower.options.Table.EntryVMs()
 	follower.crashes.lock.Lock()
 	defer follower.crashes.lock.Unlock()
-	return follower.crashes.bans.Refuse(clock.Now(), request, vms)
+	return follower.crashes.bans.Refuse(clock.Now(), request)
 }
 
 // Begin notes that a request is sent to an upstream, until release is called. It returns
--- a/internal/peer/conviction.go
+++ b/internal/peer/conviction.go
@@ -56,6 +56,7 @@
 func VerdictMessage(verdict conviction.Verdict) *wire.Verdict {
 	return &wire.Verdict{
 		Trait: string(verdict.Trait), Status: uint32(verdict.Status), AgeMillis: ageMillis(verdict.Age), LeftMillis: ageMillis(verdict.Left),
+		Trier: string(verdict.Trier),
 	}
 }
 
@@ -64,7 +65,7 @@
 func VerdictFromMessage(message *wire.Verdict) conviction.Verdict {
 	return conviction.Verdict{
 		Trait: conviction.Trait(message.GetTrait()), Status: conviction.Status(message.GetStatus()),
-		Age: millisAge(message.GetAgeMillis()), Left: millisAge(message.GetLeftMillis()),
+		Age: millisAge(message.GetAgeMillis()), Left: millisAge(message.GetLeftMillis()), Trier: core.VMID(message.GetTrier()),
 	}
 }
 
--- a/pkg/core/route.go
+++ b/pkg/core/route.go
@@ -72,6 +72,8 @@
 	MaxAttempts int
 	// Rank is the urgency of the route; 0 is the most urgent.
 	Rank int
+	// Public is set if requests need no key although the route table has workspaces.
+	Public bool `json:",omitempty"`
 }
 
 // Repeatable reports whether a request of the route may be sent again after it may
@@ -128,6 +130,8 @@
 	Routes   []Route
 	Services []ServiceSpec
 	Limits   CallerLimits
+	// Workspaces holds who may call and how much. If it is empty, requests need no key.
+	Workspaces []Workspace `json:",omitempty"`
 }
 
 // Service returns the description of a service, and false if the table does not
--- a/pkg/policy/conviction/bans.go
+++ b/pkg/policy/conviction/bans.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -23,6 +21,8 @@
 	nextTrial, trialDelay time.Duration
 	// trial is the content of the last request that was let pass as a trial.
 	trial Trait
+	// trier is the VM that carries out the trials.
+	trier core.VMID
 }
 
 // clearance is the time of a clearance, and the time until which it is remembered.
@@ -62,8 +62,9 @@
 	case Convicted:
 		if current != nil {
 			current.until = max(current.until, now+verdict.Left)
+			current.trier = cmp.Or(verdict.Trier, current.trier)
 		} else if len(bans.bans) < maxTraits {
-			bans.bans[verdict.Trait] = &ban{since: since, until: now + verdict.Left, nextTrial: since + firstTrial, trialDelay: 2 * firstTrial}
+			bans.bans[verdict.Trait] = newBan(now, since, verdict)
 		}
 	case Cleared:
 		delete(bans.watched, verdict.Trait)
@@ -76,12 +77,23 @@
 	}
 }
 
+// newBan returns the ban of a convicted trait. It skips the trials whose time has passed: a VM
+// that has started again may have carried them out before.
+func newBan(now, since time.Duration, verdict Verdict) *ban {
+	next := &ban{since: since, until: now + verdict.Left, nextTrial: since + firstTrial, trialDelay: 2 * firstTrial, trier: verdict.Trier}
+	for next.nextTrial < now {
+		next.nextTrial += next.trialDelay
+		next.trialDelay *= 2
+	}
+	return next
+}
+
 // Convictions returns the convictions in force, sorted by trait.
 func (bans *Bans) Convictions(now time.Duration) []Verdict {
 	var all []Verdict
 	for trait, current := range bans.bans {
 		if now < current.until {
-			all = append(all, Verdict{Trait: trait, Status: Convicted, Age: now - current.since, Left: current.until - now})
+			all = append(all, Verdict{Trait: trait, Status: Convicted, Age: now - current.since, Left: current.until - now, Trier: current.trier})
 		}
 	}
 	slices.SortFunc(all, func(a, b Verdict) int { return cmp.Compare(a.Trait, b.Trait) })
@@ -108,9 +120,9 @@
 }
 
 // Refuse returns true and the time until the conviction ends if a trait of the request is
-// convicted. It lets a request pass that is a trial: on average one of the given number of
-// entry VMs carries out each trial, with one request.
-func (bans *Bans) Refuse(now time.Duration, request Request, vms int) (time.Duration, bool) {
+// convicted. It lets a request pass that is a trial: the VM that the verdict names carries out
+// each trial, with one request.
+func (bans *Bans) Refuse(now time.Duration, request Request) (time.Duration, bool) {
 	if len(bans.bans) == 0 {
 		return 0, false
 	}
@@ -120,7 +132,7 @@
 		if current == nil || now >= current.until {
 			continue
 		}
-		if bans.startTrial(now, trait, current, vms) {
+		if bans.startTrial(now, current) {
 			current.trial = request.Content
 			continue
 		}
@@ -141,13 +153,12 @@
 }
 
 // startTrial reports whether a request is the trial of a convicted trait.
-func (bans *Bans) startTrial(now time.Duration, trait Trait, current *ban, vms int) bool {
+func (bans *Bans) startTrial(now time.Duration, current *ban) bool {
 	if now < current.nextTrial {
 		return false
 	}
-	hash := xxhash.Sum64String(string(bans.VM) + "\x00" + string(trait) + "\x00" + current.trialDelay.String())
 	current.nextTrial, current.trialDelay, current.trial = now+current.trialDelay, 2*current.trialDelay, ""
-	return hash%uint64(max(1, vms)) == 0
+	return current.trier != "" && current.trier == bans.VM
 }
 
 // Watched returns the traits of a request whose passes are to be reported: the suspected and
--- a/pkg/policy/conviction/verdict.go
+++ b/pkg/policy/conviction/verdict.go
@@ -1,6 +1,12 @@
 package conviction
 
-import "time"
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/dandelionring/dandelionring/pkg/core"
+)
 
 // Status is what a verdict says about a trait.
 type Status uint8
@@ -39,4 +45,21 @@
 	Age time.Duration
 	// Left is the time until the verdict ends.
 	Left time.Duration
+	// Trier is the entry VM that carries out the trials of a convicted trait, empty for none.
+	Trier core.VMID
+}
+
+// ChooseTrier returns the entry VM that carries out the trials of a trait, by rendezvous
+// hashing, and the empty ID if there are no VMs. Control VMs that know the same entry VMs
+// choose the same one, so that a trial is not carried out once for each of them.
+func ChooseTrier(trait Trait, vms []core.VMID) core.VMID {
+	var chosen core.VMID
+	var highest uint64
+	for _, vm := range vms {
+		score := xxhash.Sum64String(string(vm) + "\x00" + string(trait))
+		if chosen == "" || score > highest || score == highest && vm > chosen {
+			chosen, highest = vm, score
+		}
+	}
+	return chosen
 }
--- a/pkg/policy/reach/service.go
+++ b/pkg/policy/reach/service.go
@@ -75,6 +75,9 @@
 	// refusedProbes is the number of upstreams that must have failed when a probe is refused, for
 	// the path to be lost.
 	refusedProbes = 2
+	// probeFailures is the number of failures, that of the probe included, that are needed when a
+	// probe times out. One alone also times out if this process waits for a processor.
+	probeFailures = 2
 )
 
 // failures counts the failures since the last evidence to the contrary, by upstream. The zero
@@ -265,13 +268,16 @@
 	return known[service.probes%len(known)]
 }
 
-// ProbeFailed notes that a probe has not reached its upstream. It confirms a suspicion, unless it
-// was refused and no other upstream has failed: the process there may have ended, and a refusal
-// leaves no time for an answer of another one.
+// ProbeFailed notes that a probe has not reached its upstream. It confirms a suspicion if there
+// was another failure. If it was refused, that must be one of another upstream: the process there
+// may have ended, and a refusal leaves no time for an answer of another one.
 func (service *Service) ProbeFailed(now time.Duration, failure Failure) {
 	confirms := service.state == Suspect && failure.Began >= service.answeredAt
 	service.Failed(now, failure)
-	enough := failure.Kind != Refused || len(service.unreached.upstreams) >= min(refusedProbes, max(1, failure.Known))
+	enough := service.unreached.count >= probeFailures
+	if failure.Kind == Refused {
+		enough = len(service.unreached.upstreams) >= min(refusedProbes, max(1, failure.Known))
+	}
 	if confirms && enough && service.state == Suspect {
 		service.cut(now)
 	}
