State relative load, service time and age of the report with a selection

Cause: the decision which requests wait needs the load of the selected upstream without the costs of zone and faults, its service time, and the age of what is known of it. Change: selection.Candidate.Load; fleet.Selection has Load, Service and Age. Select and Reserve build the selection in one place. Service stays zero until answers are learned.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -310,6 +310,15 @@
 	Weights core.WeightKey
 	// Limit is the limit that the upstream has stated.
 	Limit core.RequestLimit
+	// Load is the relative load: the requests that are known there and this one, divided by
+	// the slots that may be used. Up to 1 the request finds a free slot.
+	Load float64
+	// Service is the learned time of one answer of a call, or until the first event of a
+	// stream, at an upstream with a free slot. It is zero if unknown.
+	Service time.Duration
+	// Age is the age of the last report of other VMs' requests in the zone of the upstream,
+	// the largest duration if there was none.
+	Age time.Duration
 }
 
 // Select selects the upstream with the lowest cost for a request and counts the request as
@@ -331,13 +340,30 @@
 	if at < 0 {
 		return Selection{}, false
 	}
-	table.sendBrittle(now, found[at])
-	table.countSend(found[at], query)
-	instance := found[at].instance
+	return table.take(now, found[at], query, candidates[at], cost), true
+}
+
+// take counts a request as running at an upstream and returns the selection of it. The caller
+// holds the lock.
+func (table *Table) take(now time.Duration, known *upstream, query Query, candidate selection.Candidate, cost float64) Selection {
+	table.sendBrittle(now, known)
+	table.countSend(known, query)
+	instance := known.instance
 	return Selection{
-		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: found[at].software(),
-		Revision: revision, Cost: cost, Weights: query.Weights, Limit: found[at].stated.limit,
-	}, true
+		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
+		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit,
+		Load: candidate.Load(), Age: table.reportAge(now, instance.Zone),
+	}
+}
+
+// reportAge returns the age of the last report of the requests of other VMs in a zone, and the
+// largest duration if there was none. The caller holds the lock.
+func (table *Table) reportAge(now time.Duration, zone core.ZoneID) time.Duration {
+	at, ok := table.othersAt[zone]
+	if !ok {
+		return math.MaxInt64
+	}
+	return now - at
 }
 
 // HasSoftware reports whether an upstream that takes requests and is not excluded has the
@@ -386,16 +412,11 @@
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	known := table.upstreams[id]
-	revision := table.revisions[query.Weights]
 	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) || table.brittleWait(now, known) > 0 {
 		return Selection{}, false
 	}
-	table.sendBrittle(now, known)
-	table.countSend(known, query)
-	return Selection{
-		Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.software(),
-		Revision: revision, Cost: table.candidate(now, known).Cost(), Weights: query.Weights, Limit: known.stated.limit,
-	}, true
+	candidate := table.candidate(now, known)
+	return table.take(now, known, query, candidate, candidate.Cost()), true
 }
 
 // Revision returns the newest revision of an adapter, zero if none was named.
--- a/pkg/policy/selection/choose.go
+++ b/pkg/policy/selection/choose.go
@@ -31,11 +31,16 @@
 	limitedCost = 1.0
 )
 
+// Load returns the relative load with one more request. Up to 1 the request finds a free slot.
+func (candidate Candidate) Load() float64 {
+	return float64(candidate.Running+candidate.Others+1) / float64(max(1, candidate.Slots))
+}
+
 // Cost returns the cost of sending one more request to the candidate. It is 1/Slots for an
 // idle candidate in the zone of the entry VM. A relative load above 1 means that the
 // request has to wait.
 func (candidate Candidate) Cost() float64 {
-	cost := float64(candidate.Running+candidate.Others+1) / float64(max(1, candidate.Slots))
+	cost := candidate.Load()
 	if !candidate.Local {
 		cost += remoteCost
 	}
