Learn the speed of upstreams and the pace of those that have just started

Cause: requests were spread by the number that runs at each upstream, whatever its speed, and an upstream that had just started was as attractive to all VMs at once as an idle one. Change: package pace learns the time of an answer and between events, and which share of the slots may be used after a start, a silence or failures. Entry VMs report what they observe in wire.Usage; the owner of the zone learns and states absolute times and shares; each entry VM relates them over all zones, and uses its own observations without an owner for 2 s. Package selection divides the load by speed and share. A request of known size costs more at a slow upstream. Select evaluates only upstreams whose least cost, which is kept between selections, is below the lowest so far.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -118,6 +118,8 @@
 	// loaded. stateLoaded is set after the state was loaded once.
 	applied     uint64
 	stateLoaded bool
+	// nextPaceNote is the time from which notePace logs and counts again.
+	nextPaceNote time.Duration
 	// progress is closed and replaced each time an order completes.
 	progress chan struct{}
 }
@@ -131,6 +133,8 @@
 	table      *residency.Table
 	// tokenRejected is set after an engine has rejected the token.
 	tokenRejected bool
+	// paces holds what is known of the pace of the zone's upstreams, also plain ones.
+	paces paceTable
 }
 
 const (
@@ -257,10 +261,19 @@
 	}
 	control.cache.dirty = true
 	if merged, ok := control.known.Get(instance.Upstream); ok {
-		control.setEngine(now, merged)
+		control.setUpstream(now, merged)
 	}
 }
 
+// setUpstream updates the tables of the upstream's zone, if this VM owns it. The caller holds
+// the lock.
+func (control *Control) setUpstream(now time.Duration, instance core.Instance) {
+	if zone := control.owned[instance.Zone]; zone != nil {
+		zone.paces.set(now, instance)
+	}
+	control.setEngine(now, instance)
+}
+
 // setEngine updates the residency table of the engine's zone and sends the engine to the
 // subscribers. It does nothing if this VM does not own the zone or the upstream is no
 // engine. The caller holds the lock.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -13,5 +13,15 @@
 	// originCounts counts the questions about the origins of streams, by whether the origin
 	// was found and whether the question waited for it.
 	originCounts = telemetry.NewCounterFamily("dandelionring_origin_queries_total", "found", "waited")
-	placeCounts  = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// paceCounts counts the changes of what is assumed of the pace of upstreams: start phases by
+	// their cause, and speeds by the class that they have changed to.
+	paceCounts = telemetry.NewCounterFamily("dandelionring_pace_changes_total", "change", "detail")
+	// speedGauges and openGauges hold the speed of the upstreams of the owned zones relative to
+	// the median, and the share of their slots that may be used regardless of other upstreams.
+	speedGauges = telemetry.NewGaugeFamily("dandelionring_upstream_speed", "upstream", maxPaceGauges)
+	openGauges  = telemetry.NewGaugeFamily("dandelionring_upstream_open", "upstream", maxPaceGauges)
+	placeCounts = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
+
+// maxPaceGauges is the number of upstreams that have gauges of their own.
+const maxPaceGauges = 256
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -221,6 +221,7 @@
 	if owner.VM != control.options.VM {
 		if owned != nil {
 			control.options.Logger.Info("This VM no longer owns the engines of a zone.", "zone", zone, "owner", owner.VM, "token", owner.Token)
+			owned.paces.clear()
 			delete(control.owned, zone)
 		}
 		return
@@ -236,7 +237,7 @@
 	control.owned[zone] = next
 	for _, instance := range control.known.All() {
 		if instance.Zone == zone {
-			control.setEngine(now, instance)
+			control.setUpstream(now, instance)
 		}
 	}
 	if replica, ok := control.options.Host.Replica(0); ok {
--- a/internal/control/upstream_cache.go
+++ b/internal/control/upstream_cache.go
@@ -101,7 +101,7 @@
 		instance.Gone = true
 		control.known.Merge(instance)
 		control.hub.publishInstance(instance)
-		control.setEngine(now, instance)
+		control.setUpstream(now, instance)
 		control.options.Logger.Info("An upstream known before the start did not announce itself in time.", "upstream", id)
 	}
 	control.cache.restored = nil
--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -128,7 +128,12 @@
 			zone.table.SetRunning(id, control.usage.sums[id])
 		}
 	}
-	return control.usageOfOthers(core.ZoneID(request.GetZone()), own)
+	result := control.usageOfOthers(core.ZoneID(request.GetZone()), own)
+	if zone := control.owned[core.ZoneID(request.GetZone())]; zone != nil {
+		zone.paces.observe(now, request)
+		zone.paces.state(now, result, request.GetTimes())
+	}
+	return result
 }
 
 // usageOfOthers returns the sums without an entry VM's own report, for the upstreams of a
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -67,6 +67,7 @@
 	}
 	control.known.Expire(now)
 	control.expireRestored(now)
+	control.notePace(now)
 	delay := stepInterval
 	for _, zone := range control.owned {
 		if !control.mayOrder(now, zone) {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -323,6 +323,7 @@
 		case <-ticker.C:
 		}
 		now := clock.Now()
+		follower.options.Table.refreshPace(now)
 		for zone, owner := range follower.options.Table.Owners() {
 			if !follower.beginReport(zone) {
 				continue
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -14,6 +14,7 @@
 	"github.com/dandelionring/dandelionring/pkg/policy/handover"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
+	"github.com/dandelionring/dandelionring/pkg/policy/pace"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/policy/route"
 	"github.com/dandelionring/dandelionring/pkg/policy/selection"
@@ -70,6 +71,19 @@
 	// report, and lastReport the time of that report.
 	changedZones map[core.ZoneID]bool
 	lastReport   map[core.ZoneID]time.Duration
+	// paces compares the upstreams of each service, and timesAskedAt holds the times at which
+	// reports asked the owners for the times of their upstreams.
+	paces               map[core.ServiceID]*servicePace
+	timesAskedAt        map[core.ZoneID]time.Duration
+	nextPace, nextDrain time.Duration
+	// all holds the upstreams by position, and bounds their least costs for Select.
+	all    []*upstream
+	bounds []selection.Bound
+	// holders holds the positions of the upstreams with weights. It is filled by Select and
+	// cleared when weights or upstreams change.
+	holders map[ServiceKey][]selection.Position
+	// allowed is a buffer of Select.
+	allowed []selection.Position
 }
 
 // NewTable returns an empty table for an entry VM in a zone.
@@ -87,6 +101,9 @@
 		sendCounts:   make(map[core.ZoneID]map[ServiceKey]int),
 		changedZones: make(map[core.ZoneID]bool),
 		lastReport:   make(map[core.ZoneID]time.Duration),
+		paces:        make(map[core.ServiceID]*servicePace),
+		timesAskedAt: make(map[core.ZoneID]time.Duration),
+		holders:      make(map[ServiceKey][]selection.Position),
 	}
 }
 
@@ -129,7 +146,7 @@
 	changed := table.members.Announce(now, instance)
 	statusChanged := table.members.Merge(instance)
 	if changed || statusChanged {
-		table.rebuildUpstreams()
+		table.rebuildUpstreams(now)
 	}
 	if known := table.upstreams[instance.Upstream]; known != nil && known.instance.Born == instance.Born && instance.Sequence >= known.endedSequence+endedAnnouncements {
 		known.ended = false
@@ -139,9 +156,13 @@
 
 // rebuildUpstreams updates the upstreams and the lists by service from the members. The
 // caller holds the lock.
-func (table *Table) rebuildUpstreams() {
+func (table *Table) rebuildUpstreams(now time.Duration) {
 	clear(table.services)
-	for _, instance := range table.members.All() {
+	clear(table.holders)
+	members := table.members.All()
+	table.all = slices.Grow(table.all[:0], len(members))
+	table.bounds = slices.Grow(table.bounds[:0], len(members))
+	for position, instance := range members {
 		known := table.upstreams[instance.Upstream]
 		if known == nil || known.instance.Born != instance.Born {
 			known = &upstream{weights: announcedWeights(instance), inFlight: make(map[core.WeightKey]int)}
@@ -150,13 +171,20 @@
 		if known.token == 0 && known.instance.Sequence != instance.Sequence {
 			known.weights = announcedWeights(instance)
 		}
+		before := known.instance
 		known.instance = instance
+		known.position = selection.Position(position)
+		table.setPaceState(now, known, before)
+		table.all = append(table.all, known)
+		table.bounds = append(table.bounds, selection.Bound{})
+		table.updateBound(known)
 		if known.usable() {
 			table.services[instance.Service] = append(table.services[instance.Service], known)
 		}
 	}
 	for id := range table.upstreams {
 		if _, ok := table.members.Get(id); !ok {
+			table.servicePace(table.upstreams[id].instance.Service).tracker.Remove(id)
 			delete(table.upstreams, id)
 		}
 	}
@@ -178,6 +206,7 @@
 	if !change.Whole && known.token != token {
 		return // the whole state of a new owner comes first
 	}
+	clear(table.holders)
 	known.token = token
 	for _, removed := range change.Removed {
 		delete(known.weights, removed)
@@ -291,6 +320,8 @@
 	Origin origin.Requirement
 	// Request is the id of the waiting request, for the log.
 	Request core.RequestID
+	// Tokens is the size of the request, zero if unknown.
+	Tokens core.Tokens
 }
 
 // Selection is a selected upstream.
@@ -319,6 +350,8 @@
 	// Age is the age of the last report of other VMs' requests in the zone of the upstream,
 	// the largest duration if there was none.
 	Age time.Duration
+	// unhindered is set if the time of the answer is likely not to include a wait for a slot.
+	unhindered bool
 }
 
 // Select selects the upstream with the lowest cost for a request and counts the request as
@@ -327,32 +360,62 @@
 	table.lock.Lock()
 	defer table.lock.Unlock()
 	revision := table.revisions[query.Weights]
-	var found []*upstream
-	var candidates []selection.Candidate
-	for _, known := range table.services[query.Service] {
-		if !table.canServe(now, known, query, revision) {
-			continue
+	positions := table.holdersOf(query)
+	if len(query.Exclude) > 0 || query.Origin != (origin.Requirement{}) {
+		// Most repeats come here. Among upstreams of equal cost, the one behind an excluded one
+		// must not get its share too.
+		table.allowed = table.allowed[:0]
+		for _, position := range positions {
+			if table.canServe(now, table.all[position], query, revision) {
+				table.allowed = append(table.allowed, position)
+			}
 		}
-		found = append(found, known)
-		candidates = append(candidates, table.candidate(now, known))
+		positions = table.allowed
 	}
-	at, cost := selection.Choose(candidates, int(table.rotation.Add(1)))
+	at, cost := selection.Choose(table.bounds, positions, int(table.rotation.Add(1)), relativeSize(query), func(at selection.Position) (float64, bool) {
+		known := table.all[at]
+		if !table.canServe(now, known, query, revision) {
+			return 0, false
+		}
+		return table.candidate(now, known, query).Cost(), true
+	})
 	if at < 0 {
 		return Selection{}, false
 	}
-	return table.take(now, found[at], query, candidates[at], cost), true
+	return table.take(now, table.all[at], query, cost), true
+}
+
+// holdersOf returns the positions of the upstreams of the service that hold the weights of a
+// query, in any revision. The caller holds the lock.
+func (table *Table) holdersOf(query Query) []selection.Position {
+	key := ServiceKey{query.Service, query.Weights}
+	positions, ok := table.holders[key]
+	if ok {
+		return positions
+	}
+	for _, known := range table.services[query.Service] {
+		if _, held := known.heldRevision(query.Weights); held || query.Weights.Model == "" {
+			positions = append(positions, known.position)
+		}
+	}
+	if len(positions) > 0 { // callers may name any weights
+		table.holders[key] = positions
+	}
+	return positions
 }
 
 // take counts a request as running at an upstream and returns the selection of it. The caller
 // holds the lock.
-func (table *Table) take(now time.Duration, known *upstream, query Query, candidate selection.Candidate, cost float64) Selection {
+func (table *Table) take(now time.Duration, known *upstream, query Query, cost float64) Selection {
+	candidate := table.candidate(now, known, query)
 	table.sendBrittle(now, known)
 	table.countSend(known, query)
-	instance := known.instance
+	instance := &known.instance
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
 		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit,
-		Load: candidate.Load(), Age: table.reportAge(now, instance.Zone),
+		Load: candidate.Load(), Service: known.service, Age: table.reportAge(now, instance.Zone),
+		unhindered: pace.Unhindered(known.running-1+known.otherRunning, known.instance.Slots),
 	}
 }
 
@@ -399,11 +462,21 @@
 }
 
 // candidate returns the upstream as input of the selection. The caller holds the lock.
-func (table *Table) candidate(now time.Duration, known *upstream) selection.Candidate {
-	return selection.Candidate{
-		Local: known.instance.Zone == table.zone, Running: known.running, Others: known.otherRunning,
-		Slots: known.instance.Slots, Faults: known.failures.value(now), Silent: known.instance.Silent, Limited: known.stated.limit.Stated && now-known.stated.at < limitRefresh,
-	}
+func (table *Table) candidate(now time.Duration, known *upstream, query Query) selection.Candidate {
+	candidate := table.pacedCandidate(known)
+	candidate.Faults, candidate.Silent = known.failures.value(now), known.instance.Silent
+	candidate.Limited = known.stated.limit.Stated && now-known.stated.at < limitRefresh
+	candidate.Size = relativeSize(query)
+	return candidate
+}
+
+// relativeSize returns the size of a request as the selection takes it.
+func relativeSize(query Query) float64 { return float64(query.Tokens) / float64(tokensPerSlot) }
+
+// updateBound updates the least cost of an upstream after a change of its requests, its speed or
+// its share. The caller holds the lock.
+func (table *Table) updateBound(known *upstream) {
+	table.bounds[known.position] = table.pacedCandidate(known).Bound()
 }
 
 // Reserve counts a request as running at a given upstream until Finish is called. It
@@ -415,8 +488,7 @@
 	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) || table.brittleWait(now, known) > 0 {
 		return Selection{}, false
 	}
-	candidate := table.candidate(now, known)
-	return table.take(now, known, query, candidate, candidate.Cost()), true
+	return table.take(now, known, query, table.candidate(now, known, query).Cost()), true
 }
 
 // Revision returns the newest revision of an adapter, zero if none was named.
@@ -435,6 +507,7 @@
 		return
 	}
 	known.running--
+	table.updateBound(known)
 	table.changedZones[known.instance.Zone] = true
 	if known.inFlight[selected.Weights]--; known.inFlight[selected.Weights] <= 0 {
 		delete(known.inFlight, selected.Weights)
@@ -452,6 +525,8 @@
 	Failed
 	// Unreachable means that the connection could not be opened or was lost.
 	Unreachable
+	// Rejected means that the upstream had no room for the request and has not run it.
+	Rejected
 )
 
 // The bounds of the exponential backoff before an unreachable upstream is tried again.
@@ -470,6 +545,12 @@
 		return
 	}
 	known.failures.observe(now, result != Answered)
+	switch result {
+	case Rejected:
+		table.observePace(now, known, pace.Answers{Rejections: 1})
+	case Failed, Unreachable:
+		table.observePace(now, known, pace.Answers{Failures: 1})
+	}
 	if result != Unreachable {
 		known.connectFailures = 0
 		return
@@ -502,6 +583,7 @@
 	defer table.lock.Unlock()
 	if known := table.upstreams[selected.Upstream]; known != nil && known.instance.Born == selected.Born {
 		delete(known.weights, key)
+		clear(table.holders)
 	}
 }
 
@@ -510,6 +592,7 @@
 func (table *Table) countSend(known *upstream, query Query) {
 	known.running++
 	known.unreported++
+	table.updateBound(known)
 	table.changedZones[known.instance.Zone] = true
 	if query.Weights.Model == "" {
 		return
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -6,11 +6,15 @@
 
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/brittle"
+	"github.com/dandelionring/dandelionring/pkg/policy/pace"
+	"github.com/dandelionring/dandelionring/pkg/policy/selection"
 )
 
 // upstream is the state of one upstream. The lock of the table guards it.
 type upstream struct {
 	instance core.Instance
+	// position is the position in Table.all.
+	position selection.Position
 	// weights holds the weights that the owner of the engine has reported, under the
 	// owner's token. Without such a report, the token is zero and the weights are those
 	// that the engine announced.
@@ -34,6 +38,16 @@
 	endedSequence uint64
 	// connectFailures counts the successive results that were Unreachable.
 	connectFailures int
+	// answers sums up the answers since the last report.
+	answers pace.Answers
+	// owner is what the owner of the zone has said last of its pace.
+	owner ownerPace
+	// speed is the speed relative to the median, and open the share of the slots that may be
+	// used; zero means 1. service is the learned time of an answer, zero if unknown.
+	speed, open float64
+	service     time.Duration
+	// draw decides whether this VM may use the open slots until the next report.
+	draw float64
 }
 
 // failureShare is the share of recent requests that failed, as an exponential moving
@@ -52,6 +66,9 @@
 
 // value returns the share at a time, from 0 to 1.
 func (failures *failureShare) value(now time.Duration) float64 {
+	if failures.share == 0 {
+		return 0
+	}
 	return failures.share * math.Exp2(-float64(now-failures.at)/float64(failureHalfLife))
 }
 
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -4,8 +4,10 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/pace"
 )
 
 // maxUsageInterval is the time after which a report is due although nothing has changed.
@@ -33,7 +35,7 @@
 	}
 	clear(table.sendCounts[zone])
 	for id, known := range table.upstreams {
-		if known.instance.Zone == zone && known.running > 0 {
+		if known.instance.Zone == zone && (known.running > 0 || known.answers != pace.Answers{}) {
 			usage.Upstreams = append(usage.Upstreams, known.usageMessage(id))
 		}
 	}
@@ -42,13 +44,15 @@
 	if !changed && len(usage.Weights) == 0 && len(usage.Upstreams) == 0 && zone != table.zone {
 		return nil
 	}
+	table.askForTimes(now, usage)
 	return usage
 }
 
 // usageMessage returns the requests in flight at the upstream, one list entry for each
-// request with weights.
+// request with weights, and the answers since the last report, which it resets.
 func (upstream *upstream) usageMessage(id core.UpstreamID) *wire.UpstreamUse {
-	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running)}
+	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running), Answers: peer.AnswersMessage(upstream.instance.Born, upstream.answers)}
+	upstream.answers = pace.Answers{}
 	for key, count := range upstream.inFlight {
 		for range count {
 			use.Weights = append(use.Weights, &wire.WeightState{Model: string(key.Model), Adapter: string(key.Adapter)})
@@ -62,7 +66,9 @@
 func (table *Table) setOtherRunning(zone core.ZoneID, result *wire.UsageResult) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	table.othersAt[zone] = clock.Now()
+	now := clock.Now()
+	table.othersAt[zone] = now
+	table.setPace(now, zone, result)
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
 			known.otherRunning, known.unreported = 0, 0
@@ -73,4 +79,9 @@
 			known.otherRunning = int(use.GetRunning())
 		}
 	}
+	for _, known := range table.upstreams {
+		if known.instance.Zone == zone {
+			table.updateBound(known)
+		}
+	}
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -38,7 +38,7 @@
 // and at last the wait for a turn within the deadline.
 func (call *call) chooseAdmitted(ctx context.Context) (fleet.Selection, string, bool) {
 	turns := &turns{call: call, waits: make(map[core.UpstreamID]time.Duration), query: fleet.Query{
-		Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Origin: call.origin(), Request: call.request.ID,
+		Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Origin: call.origin(), Request: call.request.ID, Tokens: call.request.Tokens,
 	}}
 	for range maxAdmissions {
 		selection, reason, ok := call.chooseUpstream(ctx, turns.query, true)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -23,6 +23,9 @@
 	Origin core.RequestID
 	// Parts are the parts of the prompt in order, empty if the request does not state them.
 	Parts []core.PartID
+	// Tokens is the size of the request, its prompt and its answer, zero if the request does not
+	// state it.
+	Tokens core.Tokens
 }
 
 // Send holds the values that the gateway adds to one send of a request to an upstream.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -56,6 +56,10 @@
 	// heardAt is the time at which the request was sent, or at which the last bytes of the
 	// upstream have arrived.
 	heardAt time.Duration
+	// sentAt is the time at which the request was sent.
+	sentAt time.Duration
+	// pauses measures the pauses between the events of a stream.
+	pauses pauseTimes
 	// release ends the time in which the send is cancelled if its content is convicted.
 	release func()
 	// detach ends the time in which the end of the request closes conn. It returns false if conn
@@ -261,7 +265,8 @@
 func (attempt *attempt) exchange(ctx context.Context) nextStep {
 	call := attempt.call
 	call.counts.Sends++
-	attempt.heardAt = clock.Now()
+	attempt.sentAt = clock.Now()
+	attempt.heardAt = attempt.sentAt
 	if _, err := attempt.conn.Send(attempt.requestHead(), call.body); err != nil {
 		// The upstream may have received part of the request, and may have run it even if
 		// its body is incomplete.
@@ -312,6 +317,8 @@
 		attempt.log("response over a bound", err)
 	case errors.Is(err, h1.ErrMemory):
 		attempt.log("no memory for the response", err)
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		attempt.observeOverdue()
 	case ctx.Err() == nil:
 		attempt.observe(fleet.Unreachable)
 		attempt.log(event, err)
@@ -373,7 +380,7 @@
 		attempt.put()
 	}
 	if !info.Misdirected {
-		attempt.observe(fleet.Failed)
+		attempt.observe(fleet.Rejected)
 	}
 	return tryAnother
 }
@@ -416,6 +423,7 @@
 		return tryAnother
 	}
 	attempt.observe(fleet.Answered)
+	attempt.observeWhole(response.StatusCode)
 	answerSeconds[call.kind()].UpdateDuration(call.start)
 	answer.write(call.writer)
 	return finished
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/sse"
@@ -34,6 +35,7 @@
 	}
 	memory, release := call.gateway.bodies.Reserve()
 	defer release()
+	defer attempt.observePauses()
 	splitter := eventSplitter{memory: memory}
 	follows := call.committed
 	chunk := make([]byte, readSize)
@@ -90,8 +92,13 @@
 	if attempt.events < passedEvents && attempt.events+count >= passedEvents {
 		attempt.passed()
 	}
+	if count > 0 && attempt.pauses.add(attempt.heardAt, count) {
+		attempt.observeFirst()
+	}
 	attempt.events += count
-	return http.NewResponseController(call.writer).Flush() == nil
+	err := http.NewResponseController(call.writer).Flush()
+	attempt.pauses.forwarded(attempt.heardAt, clock.Now())
+	return err == nil
 }
 
 // finishStream handles the regular end of a stream.
