--- a/pkg/policy/pace/times.go
+++ b/pkg/policy/pace/times.go
@@ -122,7 +122,11 @@
 		return 0
 	}
 	slices.Sort(times)
-	return times[len(times)/2]
+	middle := len(times) / 2
+	if len(times)%2 == 0 {
+		return (times[middle-1] + times[middle]) / 2
+	}
+	return times[middle]
 }
 
 // Open returns the share of its slots that an upstream may use, relative to the others: if all
--- a/pkg/policy/pace/tracker.go
+++ b/pkg/policy/pace/tracker.go
@@ -68,7 +68,7 @@
 // returns zero if there are too few.
 func (mean *mean) value(now, reference time.Duration) time.Duration {
 	mean.decay(now)
-	if mean.weight < minWeight {
+	if mean.weight < minWeight || reference <= 0 && mean.weight < priorWeight {
 		return 0
 	}
 	own := mean.sum / mean.weight
