--- a/pkg/policy/pace/times.go
+++ b/pkg/policy/pace/times.go
@@ -25,7 +25,7 @@
 // Unhindered reports whether the time of a request that is sent to an upstream now is likely not
 // to include a wait for a slot. Half of the slots must be free: requests of other VMs are known
 // only from their last reports, so a single slot that seems free may be taken.
-func Unhindered(requests, slots int) bool { return 2*requests < slots }
+func Unhindered(requests, slots int) bool { return 2*requests < max(1, slots) }
 
 // Add adds other answers.
 func (answers *Answers) Add(other Answers) {
