Learn from deadlines that pass only if the wait was long

Callers may set any deadline, and short ones made an upstream look fast. Change: it counts from twice the usual time on, a pause without a next event from 400 ms on. Result: TestOverdue fails without the condition (one answer counts although no usual time is known); the tests of gateway, fleet and node pass.

--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -13,6 +13,14 @@
 // stream say nothing of the upstream.
 const slowReadTime = 5 * time.Millisecond
 
+const (
+	// overdueFactor is the least time of an answer that did not come, relative to the usual time.
+	overdueFactor = 2
+	// longPause is the least pause that counts although no event followed. Longer ones are
+	// worth less to callers.
+	longPause = 400 * time.Millisecond
+)
+
 // pausesPerPart is the number of pauses that are reported together while a stream goes on. A slow
 // stream ends late, and the owner should learn of it before.
 const pausesPerPart = 3
@@ -52,13 +60,13 @@
 	return pace.Answers{Pauses: pauses.count, PauseTotal: pauses.last - pauses.first}
 }
 
-// observeFirst reports the time until the first event of a stream.
-func (attempt *attempt) observeFirst() {
-	attempt.observeAnswers(pace.Answers{Count: 1, Total: attempt.heardAt - attempt.sentAt})
-}
-
-// observePart reports the pauses so far once they are enough for a part.
-func (attempt *attempt) observePart() {
+// observeEvents notes the events of a read after they were forwarded. It reports the time until
+// the first one, and the pauses once they are enough for a part.
+func (attempt *attempt) observeEvents(count int) {
+	if attempt.pauses.add(attempt.heardAt, count) {
+		attempt.observeAnswers(pace.Answers{Count: 1, Total: attempt.heardAt - attempt.sentAt})
+	}
+	attempt.pauses.forwarded(attempt.heardAt, clock.Now())
 	if attempt.pauses.count >= pausesPerPart {
 		attempt.observePauses()
 		attempt.pauses.first, attempt.pauses.count = attempt.pauses.last, 0
@@ -82,15 +90,18 @@
 	attempt.observeAnswers(answers)
 }
 
-// observeOverdue reports that the deadline of the request has passed. The time so far is the
-// least that the answer, or the next event, takes.
+// observeOverdue reports that the deadline of the request has passed. The time so far is the least
+// that the answer, or the next event, takes. It says something of the upstream only if it is long:
+// callers may set any deadline.
 func (attempt *attempt) observeOverdue() {
 	now := clock.Now()
-	if attempt.pauses.first == 0 {
-		attempt.observeAnswers(pace.Answers{Count: 1, Total: now - attempt.sentAt})
-		return
+	elapsed, usual := now-attempt.sentAt, attempt.selection.Service
+	switch {
+	case attempt.pauses.first == 0 && usual > 0 && elapsed >= overdueFactor*usual:
+		attempt.observeAnswers(pace.Answers{Count: 1, Total: elapsed})
+	case attempt.pauses.first > 0 && now-attempt.pauses.last >= longPause:
+		attempt.pauses.add(now, 1)
 	}
-	attempt.pauses.add(now, 1)
 }
 
 func (attempt *attempt) observeAnswers(answers pace.Answers) {
--- a/internal/gateway/pace_test.go
+++ b/internal/gateway/pace_test.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -105,3 +106,28 @@
 		}
 	}
 }
+
+// TestOverdue guards against an upstream that never answers and of which nothing is learned, and
+// against one that looks fast because callers set short deadlines.
+func TestOverdue(t *testing.T) {
+	for usual, want := range map[time.Duration]uint32{0: 0, time.Minute: 0, time.Millisecond: 1} {
+		table := fleet.NewTable("z")
+		table.SetInstance(clock.Now(), core.Instance{Upstream: "u", Born: 1, Sequence: 1, Service: "s", Address: "a", Zone: "z", Slots: 4})
+		table.SetOwner("z", fleet.Owner{VM: "owner", Token: 1})
+		owner := &reportedAnswers{idle: make(chan struct{})}
+		selected, ok := table.Reserve(clock.Now(), "u", fleet.Query{Service: "s"})
+		if !ok {
+			t.Fatal("the upstream takes no request")
+		}
+		selected.Service = usual
+		attempt := &attempt{call: &call{gateway: &Gateway{options: Options{Table: table}}}, selection: selected, sentAt: clock.Now() - time.Second}
+		_, stop := fleet.Follow(fleet.Options{VM: "entry", Zone: "z", Table: table, Calls: owner, Logger: log.New(io.Discard)})
+		attempt.observeOverdue()
+		table.Finish(selected)
+		<-owner.idle
+		stop()
+		if owner.sum.GetCount() != want {
+			t.Fatalf("usual time %v: %d answers, want %d", usual, owner.sum.GetCount(), want)
+		}
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strings"
 
-	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/sse"
@@ -92,13 +91,11 @@
 	if attempt.events < passedEvents && attempt.events+count >= passedEvents {
 		attempt.passed()
 	}
-	if count > 0 && attempt.pauses.add(attempt.heardAt, count) {
-		attempt.observeFirst()
-	}
 	attempt.events += count
 	err := http.NewResponseController(call.writer).Flush()
-	attempt.pauses.forwarded(attempt.heardAt, clock.Now())
-	attempt.observePart()
+	if count > 0 {
+		attempt.observeEvents(count)
+	}
 	return err == nil
 }
 
