Carry the key, the tokens and the workspace of a request

Cause: the gateway did not know the key and the tokens that a caller states, and passed the caller's key and workspace headers on to upstreams. No key is checked yet.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -24,6 +24,8 @@
 	incoming *http.Request
 	request  Request
 	route    *core.Route
+	// workspace is that of the caller, nil if it has none.
+	workspace *core.Workspace
 	// index is the index of the route table that contains route, and tableNumber its number.
 	index       *route.Index
 	tableNumber core.ConfigNumber
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -23,6 +23,12 @@
 	Origin core.RequestID
 	// Parts are the parts of the prompt in order, empty if the request does not state them.
 	Parts []core.PartID
+	// Key is the API key, empty unless KeyHeaders is 1. It must not be logged.
+	Key string
+	// KeyHeaders is the number of headers with a key. A key is accepted only if it is 1.
+	KeyHeaders int
+	// Tokens is the number of tokens that the request states to use, zero if it states none.
+	Tokens core.Tokens
 }
 
 // Send holds the values that the gateway adds to one send of a request to an upstream.
@@ -36,6 +42,8 @@
 	// LastEvent is the ID of the event after which a stream is resumed, empty for a new
 	// stream.
 	LastEvent string
+	// Workspace is the workspace of the caller, empty if there is none.
+	Workspace core.WorkspaceID
 }
 
 // Resumption names the stream that a request continues.
@@ -78,11 +86,12 @@
 	// Parse reads a caller's request.
 	Parse(request *http.Request) Request
 	// Headers returns the headers of a send: those of the caller that are forwarded, and
-	// those that the gateway adds.
+	// those that the gateway adds. The caller's key and a workspace that it states are not
+	// forwarded.
 	Headers(caller http.Header, send Send) http.Header
 	// HandoverHeaders returns the headers with which a request is handed over to another entry
 	// VM: those of the caller, with the time that is left and the stream that the request
-	// continues.
+	// continues, and without its key and a workspace that it states.
 	HandoverHeaders(caller http.Header, left time.Duration, resume Resumption) http.Header
 	// Classify reads the head of an upstream's response to a request.
 	Classify(response *http.Response, request Request) ResponseInfo
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -435,8 +435,8 @@
 func (attempt *attempt) requestHead() []byte {
 	call := attempt.call
 	header := call.gateway.options.Dialect.Headers(call.incoming.Header, Send{
-		Upstream: attempt.selection.Upstream, Left: time.Until(call.deadline), Rank: call.route.Rank,
-		Revision: attempt.selection.Revision, LastEvent: call.position.ID(),
+		Upstream: attempt.selection.Upstream, Left: time.Until(call.deadline), Rank: call.rank(),
+		Revision: attempt.selection.Revision, LastEvent: call.position.ID(), Workspace: call.workspaceID(),
 	})
 	return requestHead(call.incoming, header, len(call.body))
 }
