Identify callers by API keys, and keep the keys off entry VMs

Cause: the operators' configuration can name tenants with API keys, but every request was served without one. A route that is not public answers 401 without a valid key, the workspace replaces the rank of the route, goes to the upstream and into the start record, and travels with a handover instead of the key.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/host"
+	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/ownership"
@@ -51,6 +52,7 @@
 func (control *Control) renewLease(ctx context.Context) {
 	request := &wire.Request{Body: &wire.Request_Hold{Hold: &wire.Hold{
 		Vm: string(control.options.VM), Zone: string(control.options.Zone), OperatorAddress: control.options.OperatorAddress,
+		Features: peer.FeatureMessages(core.SupportedFeatures()),
 	}}}
 	for _, vm := range control.leaseCandidates() {
 		sent := clock.Now()
@@ -127,6 +129,7 @@
 		control.options.Logger.Info("A control VM joined.", "control", vm, "zone", hold.GetZone())
 		control.hub.publishState()
 	}
+	control.peers.recordFeatures(vm, peer.FeaturesFromMessage(hold.GetFeatures()))
 	result := &wire.HoldResult{ControlVms: control.peers.messages(now)}
 	replica, ok := control.options.Host.Replica(0)
 	if !ok {
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/ownership"
+	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
 // peerTTL is the time after the last contact at which a control VM is removed.
@@ -30,6 +32,8 @@
 	lastGrant time.Duration
 	// heardSince is the time from which it was heard of without a gap above maxContactGap.
 	heardSince time.Duration
+	// features are those that the VM itself has stated last.
+	features []core.Feature
 }
 
 // Peers is the set of control VMs that this one knows. Use NewPeers.
@@ -148,6 +152,36 @@
 	}
 }
 
+// recordFeatures records the features that a known control VM has stated.
+func (peers *Peers) recordFeatures(vm core.VMID, features []core.Feature) {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	if known := peers.peers[vm]; known != nil {
+		known.features = features
+	}
+}
+
+// RefuseCommand returns why this VM, as the leader, must not commit a command: a control VM in
+// contact has not stated that it can apply the route table. It returns "" if the command may be
+// committed.
+func (peers *Peers) RefuseCommand(command ledger.Command) string {
+	if command.PutRoutes == nil {
+		return ""
+	}
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	now := clock.Now()
+	for vm, peer := range peers.peers {
+		if peer.lastHeard == alwaysHeard || now-peer.lastHeard > maxContactGap {
+			continue
+		}
+		if lacks := command.PutRoutes.Table.Unsupported(peer.features); len(lacks) > 0 {
+			return fmt.Sprintf("the control VM %s has not stated that it can apply %s", vm, lacks[0])
+		}
+	}
+	return ""
+}
+
 // statuses returns, sorted by id, the zone of each control VM, the time of its last lease
 // and the time for which it has been heard of without a gap.
 func (peers *Peers) statuses(now time.Duration) []ownership.VMState {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -69,7 +69,7 @@
 // operator submitted. It returns ErrUnconfirmed if no majority confirms that it is the
 // newest.
 func (control *Control) ConfirmedRoutes(ctx context.Context) (core.ConfigNumber, []byte, error) {
-	page, err := control.confirmedPage(ctx, true)
+	page, err := control.confirmedPage(ctx, &wire.RoutesFetch{Document: true})
 	if err != nil {
 		return 0, nil, err
 	}
@@ -82,7 +82,7 @@
 
 // confirmedPage returns the newest route table, from this VM if a majority confirms that it
 // leads and otherwise from the leader. It returns ErrUnconfirmed if neither succeeds.
-func (control *Control) confirmedPage(ctx context.Context, document bool) (*wire.RoutesPage, error) {
+func (control *Control) confirmedPage(ctx context.Context, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
 	replica, ok := control.options.Host.Replica(0)
@@ -90,13 +90,13 @@
 		return nil, ErrUnconfirmed
 	}
 	if replica.Confirm(ctx) == nil {
-		return control.routesPage(replica, document)
+		return control.routesPage(replica, fetch)
 	}
 	leader := replica.Leader()
 	if leader == "" || leader == control.options.VM {
 		return nil, ErrUnconfirmed
 	}
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: true, Document: document}}}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: true, Document: fetch.GetDocument(), Features: fetch.GetFeatures()}}}
 	response, err := control.options.Calls.Call(ctx, leader, request)
 	if err != nil {
 		return nil, errors.Join(ErrUnconfirmed, err)
@@ -105,22 +105,26 @@
 }
 
 // routesPage returns the route table of the local replica, as the operator's document or
-// encoded as JSON, with all revisions.
-func (control *Control) routesPage(replica *host.Replica, document bool) (*wire.RoutesPage, error) {
+// encoded as JSON, with all revisions. It returns an error if the VM that fetches the table has
+// not stated that it can apply it.
+func (control *Control) routesPage(replica *host.Replica, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
 	var routes core.RouteTable
 	page := &wire.RoutesPage{}
 	replica.View(func(state *ledger.State) {
 		var original []byte
 		routes, original = state.Routes()
-		if document {
+		if fetch.GetDocument() {
 			page.Document = original
 		}
 		page.Revisions = peer.RevisionMessages(state.RevisionsSince(0))
 	})
 	page.Number = uint64(routes.Number)
-	if document {
+	if fetch.GetDocument() {
 		return page, nil
 	}
+	if lacks := routes.Unsupported(peer.FeaturesFromMessage(fetch.GetFeatures())); len(lacks) > 0 {
+		return nil, errors.Errorf("the VM has not stated that it can apply %s", lacks[0])
+	}
 	table, err := json.Marshal(routes)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode routes")
@@ -137,9 +141,9 @@
 		return nil, ErrUnconfirmed
 	}
 	if request.GetConfirm() {
-		return control.confirmedPage(ctx, request.GetDocument())
+		return control.confirmedPage(ctx, request)
 	}
-	return control.routesPage(replica, request.GetDocument())
+	return control.routesPage(replica, request)
 }
 
 // followState loads the replicated state each time it changes, until the context ends.
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -286,7 +286,7 @@
 	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
 	defer cancel()
 	first := follower.options.Table.RoutesNumber() == 0
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first}}}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first, Features: peer.FeatureMessages(core.SupportedFeatures())}}}
 	response, err := follower.options.Calls.Call(ctx, vm, request)
 	if err != nil {
 		return errors.Wrap(err, "fetch routes")
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -78,6 +78,9 @@
 		Attempt: core.AttemptID(string(call.request.ID) + "/" + strconv.Itoa(call.attemptNumber())),
 		Config:  call.tableNumber, Route: call.route.Name, Service: call.service, Upstream: selection.Upstream, Zone: selection.Zone,
 	}
+	if event == audit.EventStart {
+		record.Workspace = call.workspaceID()
+	}
 	if call.route.Kind == core.Stream && event == audit.EventStart {
 		record.Software = cmp.Or(selection.Software, audit.UnknownSoftware)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -26,6 +26,8 @@
 	route    *core.Route
 	// workspace is that of the caller, nil if it has none.
 	workspace *core.Workspace
+	// handedWorkspace is the workspace that the VM has named which handed the request over.
+	handedWorkspace core.WorkspaceID
 	// index is the index of the route table that contains route, and tableNumber its number.
 	index       *route.Index
 	tableNumber core.ConfigNumber
@@ -344,7 +346,13 @@
 		name = call.route.Name
 	}
 	requestCounts.Inc(call.kind().String(), outcome)
-	call.gateway.options.Logger.Info("A request ended.", "request", call.request.ID, "outcome", outcome, "status", status, "reason", reason,
+	fields := []any{
+		"request", call.request.ID, "outcome", outcome, "status", status, "reason", reason,
 		"route", name, "service", call.service, "weights", call.request.Weights.String(), "sends", call.counts.Sends, "runs", call.counts.Runs,
-		"tried", call.tried, "last_event", call.request.LastEvent, "software_before", call.software, "routes_number", call.gateway.options.Table.RoutesNumber(), "millis", time.Since(call.start).Milliseconds())
+		"tried", call.tried, "last_event", call.request.LastEvent, "software_before", call.software, "routes_number", call.gateway.options.Table.RoutesNumber(), "millis", time.Since(call.start).Milliseconds(),
+	}
+	if workspace := call.workspaceID(); workspace != "" {
+		fields = append(fields, "workspace", workspace)
+	}
+	call.gateway.options.Logger.Info("A request ended.", fields...)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,9 @@
 		call.refuse(http.StatusNotFound, "no route matches")
 		return
 	}
+	if !call.identify(index.Workspaces()) {
+		return
+	}
 	if !call.readBody(index.Table().Limits) {
 		return
 	}
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -180,6 +180,9 @@
 	}
 	header := call.gateway.options.Dialect.HandoverHeaders(call.incoming.Header, time.Until(call.deadline)-handoverMargin, resume)
 	header[handoverHeader] = []string{fmt.Sprint(counts.Sends, counts.Runs, call.counted, call.paid, call.attemptNumber(), uint64(call.tableNumber))}
+	if workspace := call.workspaceID(); workspace != "" {
+		header[handoverWorkspaceHeader] = []string{string(workspace)}
+	}
 	return requestHead(call.incoming, header, len(call.body))
 }
 
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -7,11 +7,12 @@
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
-// hopHeaders are the hop-by-hop headers, see RFC 9110, section 7.6.1, and that between entry VMs.
+// hopHeaders are the hop-by-hop headers, see RFC 9110, section 7.6.1, and those between entry VMs.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-	declinedHeader, // an upstream does not decline for the VM that passes its answer on
+	declinedHeader,          // an upstream does not decline for the VM that passes its answer on
+	handoverWorkspaceHeader, // a caller does not name its workspace itself
 }
 
 // headSize returns the size in bytes of the HTTP/1.1 request line and headers of a
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -35,7 +35,12 @@
 func (testDialect) Parse(request *http.Request) Request {
 	patience, _ := strconv.Atoi(request.Header.Get("Patience"))
 	model, adapter, _ := strings.Cut(request.Header.Get("Weights"), "/")
+	key := request.Header.Get("Key")
+	if len(request.Header["Key"]) != 1 {
+		key = ""
+	}
 	return Request{
+		Key: key, KeyHeaders: len(request.Header["Key"]),
 		ID: core.RequestID(request.Header.Get("Id")), Patience: time.Duration(patience) * time.Millisecond,
 		LastEvent: request.Header.Get("Last"), Origin: core.RequestID(request.Header.Get("Origin")), Weights: core.WeightKey{Model: core.ModelID(model), Adapter: core.AdapterID(adapter)},
 	}
@@ -46,6 +51,12 @@
 	header.Set("To", string(send.Upstream))
 	header.Set("Left", send.Left.String())
 	header.Del("Last")
+	header.Del("Key")
+	header.Del("Workspace")
+	if send.Workspace != "" {
+		header.Set("Workspace", string(send.Workspace))
+	}
+	header.Set("Rank", strconv.Itoa(send.Rank))
 	if send.LastEvent != "" {
 		header.Set("Last", send.LastEvent)
 	}
@@ -54,6 +65,8 @@
 
 func (testDialect) HandoverHeaders(caller http.Header, left time.Duration, resume Resumption) http.Header {
 	header := EndToEnd(caller)
+	header.Del("Key")
+	header.Del("Workspace")
 	header.Set("Patience", strconv.FormatInt(left.Milliseconds(), 10))
 	if resume.LastEvent != "" {
 		header.Set("Last", resume.LastEvent)
@@ -88,6 +101,8 @@
 	// software holds the versions of the upstreams in order. If it is empty, they all have the
 	// same one, and the sends do not name the upstream.
 	software []string
+	// headers holds the names of headers that the sends name if they have them.
+	headers []string
 
 	lock     sync.Mutex // no other lock is acquired while it is held
 	answers  []string
@@ -118,6 +133,11 @@
 		}
 		upstreams.ends[id] = end
 	}
+	for _, name := range upstreams.headers {
+		if values, ok := request.Header[name]; ok {
+			line += fmt.Sprintf(" %s=%q", name, values)
+		}
+	}
 	if len(upstreams.software) > 0 {
 		line += " to=" + request.Header.Get("To")
 	}
@@ -217,6 +237,9 @@
 	if record.Software != "" {
 		line += " software=" + string(record.Software)
 	}
+	if record.Workspace != "" {
+		line += " workspace=" + string(record.Workspace)
+	}
 	recorder.lines = append(recorder.lines, line)
 	return nil
 }
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -18,6 +18,7 @@
 			writer.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		call.handedWorkspace = core.WorkspaceID(incoming.Header.Get(handoverWorkspaceHeader))
 		incoming.Header.Del(handoverHeader)
 		if gateway.options.Table.RoutesNumber() < number || gateway.stopping.announced() {
 			call.decline()
--- a/internal/host/config.go
+++ b/internal/host/config.go
@@ -49,6 +49,9 @@
 	// SnapshotEntries and SnapshotBytes bound the log between two snapshots.
 	SnapshotEntries int
 	SnapshotBytes   core.Bytes
+	// Refuse, if set, returns why this VM must not commit a command as the leader, empty if it
+	// may. Commands of the replicas themselves are not passed to it.
+	Refuse func(command ledger.Command) string
 	// MaxPending bounds the commands of a shard that wait to be committed.
 	MaxPending int
 	Logger     *log.Logger
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -139,6 +139,11 @@
 	if _, leads := replica.IsLeader(); !leads {
 		return ledger.Result{}, ErrNotLeader
 	}
+	if replica.config.Refuse != nil {
+		if reason := replica.config.Refuse(command); reason != "" {
+			return ledger.Result{Fault: reason}, nil
+		}
+	}
 	command.At = ledger.UnixMillis(time.Now())
 	command, result, decided, err := replica.prepareListChange(ctx, command)
 	if err != nil || decided {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -72,7 +72,7 @@
 	defer closeTransport()
 	config := host.Config{
 		VM: settings.VM, DiskVMs: settings.Seeds, Discover: peers.IDs, Zone: peers.Zone, Voters: settings.Voters,
-		Restart: !settings.FirstStart, NoClaims: true, Directory: filepath.Join(settings.DataFolder, "shards"), Logger: loggers.Logger("replica"),
+		Restart: !settings.FirstStart, NoClaims: true, Refuse: peers.RefuseCommand, Directory: filepath.Join(settings.DataFolder, "shards"), Logger: loggers.Logger("replica"),
 	}
 	replicaCaller := replication.Caller{Client: peerClient}
 	replicas, closeReplicas, err := host.New(config, transport, replicaCaller)
--- a/pkg/audit/record.go
+++ b/pkg/audit/record.go
@@ -61,6 +61,9 @@
 	Call       string         `json:",omitempty"`
 	// Route is set if a route table, and not the plan's grant, allowed the run.
 	Route core.RouteName `json:",omitempty"`
+	// Workspace is the workspace of the caller, set for EventStart if the route table has
+	// workspaces.
+	Workspace core.WorkspaceID `json:",omitempty"`
 	// Targets is set for EventRoutes: the services that each route of the table allows.
 	Targets  RouteTargets    `json:",omitempty"`
 	Upstream core.UpstreamID `json:",omitempty"`
--- a/pkg/policy/route/index.go
+++ b/pkg/policy/route/index.go
@@ -5,19 +5,21 @@
 	"strings"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/workspace"
 )
 
 // Index finds routes by host and path. It is immutable and safe for concurrent use. The
 // zero value has no routes.
 type Index struct {
-	table core.RouteTable
-	hosts map[string]map[string]*core.Route
+	table      core.RouteTable
+	hosts      map[string]map[string]*core.Route
+	workspaces *workspace.Index
 }
 
 // NewIndex returns an index of a table, which must be valid according to
 // core.RouteTable.Check.
 func NewIndex(table core.RouteTable) *Index {
-	index := &Index{table: table, hosts: make(map[string]map[string]*core.Route)}
+	index := &Index{table: table, hosts: make(map[string]map[string]*core.Route), workspaces: workspace.NewIndex(table.Workspaces)}
 	for i := range table.Routes {
 		route := &table.Routes[i]
 		host := normalizeHost(route.Host)
@@ -32,6 +34,9 @@
 // Table returns the indexed table.
 func (index *Index) Table() *core.RouteTable { return &index.table }
 
+// Workspaces returns the index of the table's workspaces.
+func (index *Index) Workspaces() *workspace.Index { return index.workspaces }
+
 // Match returns the route of the host with the longest prefix that matches the path, and
 // nil if there is none. The case of the host and a port after it are ignored.
 func (index *Index) Match(host, path string) *core.Route {
--- /dev/null
+++ b/pkg/policy/workspace/doc.go
@@ -0,0 +1,2 @@
+// Package workspace identifies the workspace of a caller by its API key.
+package workspace
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -20,6 +20,9 @@
 	Crash        *CrashReport      `json:",omitempty"`
 	PutRoutes    *PutRoutes        `json:",omitempty"`
 	NameRevision *AnnounceRevision `json:",omitempty"`
+	// KeyedRoutes is the encoded form of a PutRoutes whose table has workspaces. A build that
+	// ignores workspaces must not apply the table without them; to it, the command is empty.
+	KeyedRoutes *PutRoutes `json:",omitempty"`
 }
 
 // PutList replaces one of the two configuration lists if Replaces is the current
--- a/pkg/replica/ledger/route.go
+++ b/pkg/replica/ledger/route.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"cmp"
 	"crypto/sha256"
+	"encoding/json"
 	"slices"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -100,19 +103,51 @@
 
 // storedRoutes is the encoded form of routes in a snapshot.
 type storedRoutes struct {
-	Table     core.RouteTable
-	Document  []byte
-	Revisions []Revision
+	// Table is empty if KeyedTable is set. A build that ignores workspaces has no table then,
+	// instead of one that needs no key.
+	Table      core.RouteTable
+	KeyedTable *jsonTable
+	Document   []byte
+	Revisions  []Revision
+}
+
+// jsonTable is a route table that is encoded as JSON within a snapshot. The encoding of the other
+// fields, gob, does not distinguish a pointer to zero from nil, but a workspace with rank 0
+// differs from one without a rank.
+type jsonTable struct{ table core.RouteTable }
+
+// GobEncode implements gob.GobEncoder.
+func (stored *jsonTable) GobEncode() ([]byte, error) {
+	data, err := json.Marshal(stored.table)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode route table")
+	}
+	return data, nil
+}
+
+// GobDecode implements gob.GobDecoder.
+func (stored *jsonTable) GobDecode(data []byte) error {
+	if err := json.Unmarshal(data, &stored.table); err != nil {
+		return errors.Wrap(err, "decode route table")
+	}
+	return nil
 }
 
 func (state *State) storeRoutes() storedRoutes {
-	return storedRoutes{
+	stored := storedRoutes{
 		Table: state.routes.table, Document: bytes.Clone(state.routes.document), Revisions: state.RevisionsSince(0),
 	}
+	if len(stored.Table.Workspaces) > 0 {
+		stored.Table, stored.KeyedTable = core.RouteTable{}, &jsonTable{stored.Table}
+	}
+	return stored
 }
 
 func (routes *routes) load(stored storedRoutes) {
 	routes.table, routes.document = stored.Table, stored.Document
+	if stored.KeyedTable != nil {
+		routes.table = stored.KeyedTable.table
+	}
 	routes.hash = sha256.Sum256(stored.Document)
 	routes.revisions = make(map[core.WeightKey]Revision, len(stored.Revisions))
 	for _, revision := range stored.Revisions {
--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -62,6 +62,9 @@
 
 // EncodeCommand returns the JSON encoding of a command, as it is written to the log.
 func EncodeCommand(command Command) ([]byte, error) {
+	if put := command.PutRoutes; put != nil && len(put.Table.Workspaces) > 0 {
+		command.PutRoutes, command.KeyedRoutes = nil, put
+	}
 	data, err := json.Marshal(command)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
@@ -76,6 +79,9 @@
 	if err := json.Unmarshal(data, &command); err != nil {
 		return Command{}, errors.Wrap(err, "decode command")
 	}
+	if command.KeyedRoutes != nil {
+		command.PutRoutes, command.KeyedRoutes = command.KeyedRoutes, nil
+	}
 	return command, nil
 }
 
