--- a/cmd/dandelionring/audit.go
+++ b/cmd/dandelionring/audit.go
@@ -204,6 +204,9 @@
 	line := fmt.Sprintf("%s %s %s/%d ", time.UnixMilli(record.At).UTC().Format("2006-01-02T15:04:05.000Z"), record.Event, record.VM, record.Sequence)
 	if record.Route != "" {
 		line += fmt.Sprintf("attempt %s route table %d route %s %s", record.Attempt, record.Config, record.Route, runTarget(record))
+		if record.Workspace != "" {
+			line += fmt.Sprintf(" workspace %s", record.Workspace)
+		}
 	} else {
 		line += fmt.Sprintf("attempt %s customer %s plan %s configuration %d %s", record.Attempt, record.Customer, record.Plan, record.Config, runTarget(record))
 	}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -305,7 +305,7 @@
 	if !follower.options.Table.SetRoutes(routes) {
 		return nil
 	}
-	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "control", vm, "confirmed", first)
+	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "workspaces", len(routes.Workspaces), "control", vm, "confirmed", first)
 	follower.options.Changed(routes)
 	return nil
 }
--- a/pkg/policy/workspace/index.go
+++ b/pkg/policy/workspace/index.go
@@ -14,7 +14,8 @@
 type Index struct {
 	workspaces []core.Workspace
 	// keys is sorted by prefix, and names holds the positions of the workspaces sorted by name.
-	// Sorted slices take a fifth of the memory of maps.
+	// The slices take 20 bytes for a workspace with one key; maps would hold each digest and name
+	// again.
 	keys  []key
 	names []uint32
 }
