--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,7 @@
 	}
 	memory, release := call.gateway.bodies.Reserve()
 	defer release()
+	defer attempt.observePauses()
 	splitter := eventSplitter{memory: memory}
 	follows := call.committed
 	chunk := make([]byte, readSize)
@@ -91,7 +92,11 @@
 		attempt.passed()
 	}
 	attempt.events += count
-	return http.NewResponseController(call.writer).Flush() == nil
+	err := http.NewResponseController(call.writer).Flush()
+	if count > 0 {
+		attempt.observeEvents(count)
+	}
+	return err == nil
 }
 
 // finishStream handles the regular end of a stream.
