--- a/internal/bench/audit/path.go
+++ b/internal/bench/audit/path.go
@@ -13,6 +13,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/caller"
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	auditlog "github.com/dandelionring/dandelionring/pkg/audit"
@@ -117,7 +118,7 @@
 		Books: state, Directory: state, Claims: state, Suspects: state, Recorder: recorder, Logger: discardLogger(),
 		Dispatchers: directDispatcher{client, addresses, new(atomic.Uint64)},
 	})
-	server := httptest.NewServer(caller.New(requests, state, 1<<20).Router())
+	server := httptest.NewServer(caller.New(requests, state, 1<<20, &guard.Bodies{}).Router())
 	return server.URL, func() {
 		server.Close()
 		closeClient()
--- a/internal/bench/path/cluster.go
+++ b/internal/bench/path/cluster.go
@@ -18,6 +18,7 @@
 	"github.com/dandelionring/dandelionring/internal/caller"
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/pool"
 	"github.com/dandelionring/dandelionring/internal/upstream"
@@ -143,7 +144,7 @@
 		Books: state, Directory: state, Dispatchers: dispatcherSet{self: name, owner: owner, client: client},
 		Claims: state, Suspects: state, Recorder: recorder, Logger: logger,
 	})
-	return cluster.serve(caller.New(requests, state, 1<<20).Router())
+	return cluster.serve(caller.New(requests, state, 1<<20, &guard.Bodies{}).Router())
 }
 
 func announcement(engine string) core.Announcement {
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -60,7 +61,7 @@
 func TestRequests(t *testing.T) {
 	datadriven.RunTest(t, "testdata/requests", func(t *testing.T, data *datadriven.TestData) string {
 		server := &twoTokenServer{breakAfterFirst: data.HasArg("break")}
-		httpServer := httptest.NewServer(New(server, server, maxTestBody).Router())
+		httpServer := httptest.NewServer(New(server, server, maxTestBody, &guard.Bodies{}).Router())
 		defer httpServer.Close()
 		status, body := sendRequest(t, httpServer.Listener.Addr().String(), formatRequest(t, data))
 		return fmt.Sprintf("%d %s\nserved %d", status, strings.ReplaceAll(strings.TrimRight(body, "\n"), "\n\n", "\n"), server.calls)
@@ -121,7 +122,7 @@
 func TestServicePath(t *testing.T) {
 	is := is.New(t)
 	server := &twoTokenServer{}
-	httpServer := httptest.NewServer(New(server, server, maxTestBody).Router())
+	httpServer := httptest.NewServer(New(server, server, maxTestBody, &guard.Bodies{}).Router())
 	defer httpServer.Close()
 	const path = "/slots/a%2Fb%3Fall%20"
 	request := "POST /v1/services/billing" + path + "?day=1 HTTP/1.1\r\nHost: vm\r\nContent-Length: 0\r\n\r\n"
@@ -135,8 +136,8 @@
 func TestStalledBody(t *testing.T) {
 	is := is.New(t)
 	server := &twoTokenServer{}
-	handler := New(server, server, maxTestBody)
-	handler.bodyTimeout = 50 * time.Millisecond
+	handler := New(server, server, maxTestBody, &guard.Bodies{})
+	handler.bodies.Time = 50 * time.Millisecond
 	httpServer := httptest.NewServer(handler.Router())
 	defer httpServer.Close()
 	conn, err := net.Dial("tcp", httpServer.Listener.Addr().String())
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -1,20 +1,19 @@
 package caller
 
 import (
-	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"io"
 	"net/http"
 	"strings"
-	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/guard"
+	"github.com/dandelionring/dandelionring/internal/h1"
+	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -37,16 +36,14 @@
 	server    requestServer
 	readiness readinessReporter
 	maxBody   core.Bytes
-	// bodyTimeout bounds the time in which a body must arrive; zero means 30 s.
-	bodyTimeout time.Duration
+	bodies    *guard.Bodies
+	page      telemetry.Page
 }
 
-// defaultBodyTimeout is enough for a body of some MiB over a slow link.
-const defaultBodyTimeout = 30 * time.Second
-
-// New returns a handler that refuses request bodies larger than maxBody.
-func New(server requestServer, readiness readinessReporter, maxBody core.Bytes) *Handler {
-	return &Handler{server: server, readiness: readiness, maxBody: maxBody}
+// New returns a handler that refuses request bodies larger than maxBody, and those for which
+// bodies has no room.
+func New(server requestServer, readiness readinessReporter, maxBody core.Bytes, bodies *guard.Bodies) *Handler {
+	return &Handler{server: server, readiness: readiness, maxBody: maxBody, bodies: bodies}
 }
 
 // Router returns the routes for callers, for the platform's load balancer and for
@@ -58,7 +55,7 @@
 	router.HandleFunc("/v1/services/{service}/*", handler.serveService)
 	router.Get("/ready", handler.serveReady)
 	router.Get("/healthz", func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(http.StatusOK) })
-	router.Get("/metrics", func(writer http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(writer, true) })
+	router.Get("/metrics", handler.page.ServeHTTP)
 	router.NotFound(func(writer http.ResponseWriter, request *http.Request) {
 		writeRefusal(writer, core.NewRefusal(core.CodeBadRequest, "no such path: "+request.URL.Path))
 	})
@@ -74,11 +71,12 @@
 }
 
 func (handler *Handler) serveCompletion(writer http.ResponseWriter, request *http.Request) {
-	body, refusal := handler.readBody(writer, request)
+	body, free, refusal := handler.readBody(writer, request)
 	if refusal != nil {
 		writeRefusal(writer, refusal)
 		return
 	}
+	defer free()
 	completion, refusal := parseCompletion(body)
 	if refusal != nil {
 		writeRefusal(writer, refusal)
@@ -108,11 +106,12 @@
 		writeRefusal(writer, core.NewRefusal(core.CodeBadRequest, "the Idempotency-Key is not 1 to 256 printable ASCII characters"))
 		return
 	}
-	body, refusal := handler.readBody(writer, request)
+	body, free, refusal := handler.readBody(writer, request)
 	if refusal != nil {
 		writeRefusal(writer, refusal)
 		return
 	}
+	defer free()
 	name := chi.URLParam(request, "service")
 	responder := &serviceResponder{writer: writer}
 	responder.finish(handler.server.Serve(request.Context(), entry.Request{
@@ -127,24 +126,25 @@
 	}, responder))
 }
 
-// readBody reads the whole body. It returns a refusal with core.CodeBodyTooLarge if the
-// body exceeds the limit, and with core.CodeBadRequest if it cannot be read, for example
-// because it is shorter than its Content-Length or does not arrive in time.
-func (handler *Handler) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, *core.Refusal) {
-	controller := http.NewResponseController(writer)
-	_ = controller.SetReadDeadline(time.Now().Add(cmp.Or(handler.bodyTimeout, defaultBodyTimeout)))
-	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, int64(handler.maxBody)))
-	if err == nil {
-		_ = controller.SetReadDeadline(time.Time{})
-		return body, nil
+// readBody reads the whole body and returns a function that frees its memory. It returns a refusal
+// with core.CodeBodyTooLarge if the body exceeds the limit, with core.CodeOverloaded if there is no
+// memory for it, and with core.CodeBadRequest if it cannot be read, for example because it is
+// shorter than its Content-Length or does not arrive in time.
+func (handler *Handler) readBody(writer http.ResponseWriter, request *http.Request) ([]byte, func(), *core.Refusal) {
+	body, free, err := handler.bodies.Read(writer, request, handler.maxBody)
+	var tooLarge *h1.BoundError
+	switch {
+	case err == nil:
+		return body, free, nil
+	case errors.As(err, &tooLarge):
+		return nil, nil, core.NewRefusal(core.CodeBodyTooLarge, "the body is over the limit")
+	case errors.Is(err, h1.ErrMemory):
+		return nil, nil, core.NewRefusal(core.CodeOverloaded, err.Error())
 	}
-	// Otherwise the server would wait for the rest of the body before it sends the response.
-	writer.Header().Set("Connection", "close")
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, core.NewRefusal(core.CodeBodyTooLarge, "the body is over the limit")
+	if cause := errors.Unwrap(err); cause != nil {
+		err = cause // without the words that the message begins with
 	}
-	return nil, core.NewRefusal(core.CodeBadRequest, "the body could not be read: "+err.Error())
+	return nil, nil, core.NewRefusal(core.CodeBadRequest, "the body could not be read: "+err.Error())
 }
 
 // bearerKeyHash returns the hexadecimal SHA-256 of the API key in the Authorization
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -64,11 +65,23 @@
 	FindOrigin(ctx context.Context, service core.ServiceID, request core.RequestID, wait time.Duration) (origin.Origin, bool)
 }
 
+// clients bounds what callers hold.
+type clients interface {
+	// Body returns the body of a request, whose reads fail with os.ErrDeadlineExceeded after the
+	// time latest, or if the caller makes no progress. free ends these limits.
+	Body(writer http.ResponseWriter, request *http.Request, latest time.Time) (body io.Reader, free func())
+}
+
 // Options holds the dependencies and limits of a Gateway.
 type Options struct {
 	Table   *fleet.Table
 	Placer  placer
 	Dialect Dialect
+	// Clients may be nil; bodies must then arrive within the timeout of their route only.
+	Clients clients
+	// Bodies bounds the bodies of requests and responses that are held at the same time; zero
+	// selects the default.
+	Bodies core.Bytes
 	// Repeats limits the sends after the first one of each request.
 	Repeats retry.Limits
 	// Recorder may be nil; no audit records are written then.
@@ -111,6 +124,7 @@
 // connections.
 func New(options Options) (*Gateway, func()) {
 	gateway := &Gateway{options: options, started: clock.Now(), budgets: make(map[core.ServiceID]*retry.Budget)}
+	gateway.bodies.Limit = options.Bodies
 	gateway.stopping.ended, gateway.stopping.end = context.WithCancel(context.Background())
 	closeCopies := gateway.copies.start(options.Placer)
 	closeLosses := gateway.losses.start(gateway)
@@ -273,10 +287,8 @@
 	if call.incoming.Body == nil || call.incoming.ContentLength == 0 {
 		return true
 	}
-	// A body that arrives after the timeout of the route is too late for any response.
-	controller := http.NewResponseController(call.writer)
-	_ = controller.SetReadDeadline(call.start.Add(call.route.Timeout))
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	body, free := call.limitBody()
+	defer free()
 	limit := int64(defaultBodyBytes)
 	if limits.BodyBytes > 0 {
 		limit = int64(limits.BodyBytes)
@@ -286,7 +298,7 @@
 		return false
 	}
 	var err error
-	call.body, err = h1.ReadAll(call.incoming.Body, limit, call.memory)
+	call.body, err = h1.ReadStated(body, call.incoming.ContentLength, limit, call.memory)
 	var tooLarge *h1.BoundError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -301,6 +313,18 @@
 	return err == nil
 }
 
+// limitBody returns the body with its limits, and a function that ends them. A body that arrives
+// after the timeout of the route is too late for any response.
+func (call *call) limitBody() (body io.Reader, free func()) {
+	latest := call.start.Add(call.route.Timeout)
+	if clients := call.gateway.options.Clients; clients != nil {
+		return clients.Body(call.writer, call.incoming, latest)
+	}
+	controller := http.NewResponseController(call.writer)
+	_ = controller.SetReadDeadline(latest)
+	return call.incoming.Body, func() { _ = controller.SetReadDeadline(time.Time{}) }
+}
+
 // refuseBody refuses a request whose body was not read completely. The connection is
 // closed: otherwise the server would wait for the rest of the body before it sends the
 // response.
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -251,7 +251,7 @@
 	if call.route.Kind == core.Stream && response.StatusCode == http.StatusOK {
 		return passing.stream(ctx, response)
 	}
-	body, err := h1.ReadAll(response.Body, int64(maxAnswerSize), call.memory)
+	body, err := h1.ReadStated(response.Body, response.ContentLength, int64(maxAnswerSize), call.memory)
 	if err != nil {
 		pool.Drop(passing.key, passing.conn)
 		return passing.fail(ctx, "broken answer", err)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -382,7 +382,7 @@
 // sent again after an incomplete response if the route allows it.
 func (attempt *attempt) forwardWhole(ctx context.Context, response *http.Response) nextStep {
 	call := attempt.call
-	body, err := h1.ReadAll(response.Body, int64(maxAnswerSize), call.memory)
+	body, err := h1.ReadStated(response.Body, response.ContentLength, int64(maxAnswerSize), call.memory)
 	if err == nil && len(body) == 0 && h1.MayBeCut(response) && response.StatusCode < http.StatusMultipleChoices {
 		err = io.ErrUnexpectedEOF
 	}
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -58,34 +57,45 @@
 	return nil
 }
 
-// readStep is the number of bytes that are reserved and read at a time.
-const readStep = 32 << 10
-
-// steps holds the buffers of ReadAll for reuse.
-var steps = sync.Pool{New: func() any { return new([readStep]byte) }}
+// firstRead is the capacity in bytes with which ReadAll begins. It is the size of the buffer of
+// net/http, and the usual requests and responses fit into it or into twice as much.
+const firstRead = 4 << 10
 
 // ReadAll reads a body of at most limit bytes to its end. The memory for it is taken from
 // the reservation as the bytes arrive, because a length that the peer states costs it
-// nothing. It returns a *BoundError if the body is longer than limit, and ErrMemory if the
+// nothing. While the body is copied into a larger buffer, both buffers are counted. It returns a *BoundError if the body is longer than limit, and ErrMemory if the
 // memory is used up.
 func ReadAll(body io.Reader, limit int64, reservation *Reservation) ([]byte, error) {
-	step := steps.Get().(*[readStep]byte)
-	defer steps.Put(step)
+	return ReadStated(body, -1, limit, reservation)
+}
+
+// ReadStated reads a body like ReadAll whose length the peer has stated, or has not if it is
+// negative. A small body is read into a buffer of that length.
+func ReadStated(body io.Reader, stated, limit int64, reservation *Reservation) ([]byte, error) {
+	if body == http.NoBody {
+		return nil, nil
+	}
+	first := int64(firstRead)
+	if stated > 0 {
+		first = min(stated, smallBody)
+	}
 	var content []byte
 	for {
-		count, err := body.Read(step[:])
-		if int64(len(content)+count) > limit {
-			return nil, NewBoundError("body", "bytes", limit)
-		}
-		if grown := len(content) + count; grown > cap(content) {
-			// The size doubles, so that the bytes are copied once on average.
-			size := max(grown, min(2*cap(content), int(limit)))
-			if counted := size - max(cap(content), smallBody); counted > 0 && !reservation.grow(int64(counted)) {
+		if len(content) == cap(content) {
+			// The size doubles, so that the bytes are copied once on average. The byte beyond
+			// the limit tells a body that is too long.
+			before, size := cap(content), int(min(max(first, 2*int64(cap(content))), limit+1))
+			if !reservation.grow(int64(size)) {
 				return nil, ErrMemory
 			}
 			content = append(make([]byte, 0, size), content...)
+			reservation.shrink(int64(before))
+		}
+		count, err := body.Read(content[len(content):cap(content)])
+		content = content[:len(content)+count]
+		if int64(len(content)) > limit {
+			return nil, NewBoundError("body", "bytes", limit)
 		}
-		content = append(content, step[:count]...)
 		if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
 			return content, nil
 		}
--- a/internal/h1/bound.go
+++ b/internal/h1/bound.go
@@ -52,16 +52,23 @@
 // 184 MB enough for its connections and tables.
 const DefaultMemory core.Bytes = 32 << 20
 
-// smallBody is the size in bytes up to which a body takes nothing from a Memory. Large
-// bodies that use the memory up then leave room for the usual ones.
-const smallBody = 16 << 10
+const (
+	// smallBody is the size in bytes up to which a body is counted apart, so that large bodies
+	// that use the memory up leave room for the usual ones.
+	smallBody = 16 << 10
+	// smallShare is the part of the limit, as 1/n, that small bodies, and the beginnings of
+	// large ones, may take beside it. Without a limit of their own, 4,000 callers with 16 KiB
+	// each would take 64 MB.
+	smallShare = 4
+)
 
-// Memory limits the bytes of large bodies that are held at the same time. The zero value
-// has the limit DefaultMemory. Its methods are safe for concurrent use.
+// Memory limits the bytes of bodies that are held at the same time. The zero value has the
+// limit DefaultMemory. Its methods are safe for concurrent use.
 type Memory struct {
-	// Limit is the largest number of bytes, DefaultMemory if it is zero.
-	Limit core.Bytes
-	used  atomic.Int64
+	// Limit is the largest number of bytes, DefaultMemory if it is zero. A quarter of it comes
+	// on top for the first 16 KiB of all bodies.
+	Limit       core.Bytes
+	used, small atomic.Int64
 }
 
 // limit returns the limit in force.
@@ -82,22 +89,29 @@
 // concurrent use.
 type Reservation struct {
 	memory *Memory
-	bytes  int64
+	// bytes and small are what the reservation takes of the limit and of the part for small
+	// bodies.
+	bytes, small int64
 }
 
-// Hold makes the reservation hold what a buffer of the given capacity, in bytes, exceeds 16
-// KiB. The reservation does not shrink. It returns ErrMemory, and changes nothing, if the
-// memory is used up.
+// Hold makes the reservation hold what a buffer of a stream exceeds 16 KiB, the capacity in
+// bytes. The rest is bounded by the number of streams, and usual events must pass also while the
+// memory is used up. The reservation does not shrink. It returns ErrMemory, and changes nothing,
+// if the memory is used up.
 func (reservation *Reservation) Hold(capacity int) error {
-	if added := int64(capacity) - smallBody - reservation.bytes; added > 0 && !reservation.grow(added) {
+	added := int64(capacity) - smallBody - reservation.bytes
+	if added <= 0 {
+		return nil
+	}
+	if !reservation.growLarge(added) {
 		return ErrMemory
 	}
 	return nil
 }
 
-// grow adds bytes to the reservation. It returns false and adds nothing if the memory is
-// used up.
-func (reservation *Reservation) grow(bytes int64) bool {
+// growLarge adds bytes to what the reservation takes of the limit. It returns false and adds
+// nothing if the memory is used up.
+func (reservation *Reservation) growLarge(bytes int64) bool {
 	if reservation.memory.used.Add(bytes) > reservation.memory.limit() {
 		reservation.memory.used.Add(-bytes)
 		return false
@@ -106,8 +120,35 @@
 	return true
 }
 
+// grow adds bytes of a body to the reservation, first to the part for small bodies. It returns
+// false and adds nothing if the memory is used up.
+func (reservation *Reservation) grow(bytes int64) bool {
+	memory := reservation.memory
+	small := min(bytes, smallBody-reservation.small)
+	if small > 0 && memory.small.Add(small) > memory.limit()/smallShare {
+		memory.small.Add(-small)
+		small = 0
+	}
+	if large := bytes - small; large > 0 && !reservation.growLarge(large) {
+		memory.small.Add(-small)
+		return false
+	}
+	reservation.small += small
+	return true
+}
+
+// shrink frees bytes of a body that are no longer held.
+func (reservation *Reservation) shrink(bytes int64) {
+	large := min(bytes, reservation.bytes)
+	reservation.memory.used.Add(-large)
+	reservation.memory.small.Add(large - bytes)
+	reservation.bytes -= large
+	reservation.small -= bytes - large
+}
+
 // release frees the bytes of the reservation.
 func (reservation *Reservation) release() {
 	reservation.memory.used.Add(-reservation.bytes)
-	reservation.bytes = 0
+	reservation.memory.small.Add(-reservation.small)
+	reservation.bytes, reservation.small = 0, 0
 }
--- a/internal/node/accepting.go
+++ b/internal/node/accepting.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/truncation"
 )
 
@@ -19,7 +20,7 @@
 // the timeouts of conns.
 func (entry *entry) newServer(conns *callerConns, handler http.Handler, name string) *http.Server {
 	return &http.Server{
-		Handler: truncation.Handler(conns.closeAfterResponse(handler)), ConnContext: truncation.ConnContext, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: truncation.Handler(guard.Handler(conns.closeAfterResponse(handler))), ConnContext: truncation.ConnContext, ReadHeaderTimeout: maxServerTimeout, IdleTimeout: maxServerTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnState: trackPhase, ErrorLog: entry.loggers.StandardLogger(name),
 	}
 }
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -198,6 +199,7 @@
 	if !ok {
 		return
 	}
+	guard.State(caller.Conn, state)
 	switch state {
 	case http.StateActive:
 		caller.used.Store(true)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/ulid/v2"
 
 	"github.com/dandelionring/dandelionring/internal/control"
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/peer"
@@ -17,6 +18,7 @@
 	"github.com/dandelionring/dandelionring/internal/replication"
 	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/intake"
 )
 
 // ControlSettings configures a control VM.
@@ -35,6 +37,8 @@
 	FirstStart bool
 	DataFolder string
 	Secret     string
+	// Clients bounds what the clients of the process hold together.
+	Clients intake.Limits
 	// AuditBytes is the maximum size of the audit log on this VM's disk.
 	AuditBytes core.Bytes
 	// Voters is the number of voting replicas.
@@ -55,6 +59,9 @@
 	// maxCallHeaderBytes bounds the header of a call. The default of net/http is 1 MiB, which a
 	// few hundred connections multiply to more than the memory of a VM.
 	maxCallHeaderBytes = 16 << 10
+	// callReadTimeout bounds the time in which a whole call must arrive. Handlers that read a
+	// body have a shorter one.
+	callReadTimeout = 10 * time.Second
 	// operatorIdleTimeout is the time after which a connection without a call is closed.
 	operatorIdleTimeout = time.Minute
 )
@@ -87,7 +94,10 @@
 			logger.Warn("Failed to close the replicated state.", "error", err)
 		}
 	}()
-	defer telemetry.Serve(settings.MetricsAddress, logger)()
+	guard := &guard.Guard{Limits: settings.Clients}
+	defer guard.Watch()()
+	guard.Register()
+	defer telemetry.Serve(settings.MetricsAddress, guard.ServePlatform, logger)()
 	jobs, closeJobs := pool.New(maxOrdersInFlight, 0)
 	defer closeJobs()
 	node := control.New(control.Options{
@@ -96,11 +106,11 @@
 		RecallFile: filepath.Join(settings.DataFolder, "upstreams.json"), Host: replicas, Commands: host.NewClient(config, replicas, replicaCaller), Calls: peerClient, Engines: engines, Jobs: jobs, Records: records, RecordFolder: recordFolder(settings), Logger: logger,
 	}, peers)
 	peers.AddSeeds(settings.Seeds)
-	return serveControl(settings, node, peers, identity, handler(node), loggers, stop, reload)
+	return serveControl(settings, guard, node, peers, identity, handler(node), loggers, stop, reload)
 }
 
 // serveControl serves peers, operators and upstreams until stop is closed.
-func serveControl(settings ControlSettings, node *control.Control, peers *control.Peers, identity peer.Identity, handler http.Handler, loggers *logging.LoggerSet, stop, reload <-chan struct{}) error {
+func serveControl(settings ControlSettings, guard *guard.Guard, node *control.Control, peers *control.Peers, identity peer.Identity, handler http.Handler, loggers *logging.LoggerSet, stop, reload <-chan struct{}) error {
 	peerListener, err := listen(settings.PeerAddress)
 	if err != nil {
 		return err
@@ -110,7 +120,7 @@
 		peerListener.Close()
 		return err
 	}
-	closePeers := peer.Serve(peerListener, identity, node, loggers.Logger("peer"))
+	closePeers := peer.Serve(guard.Listen(peerListener, intake.Peers, false), identity, node, loggers.Logger("peer"))
 	defer closePeers()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -123,11 +133,11 @@
 		<-done
 	}()
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxCallHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: callReadTimeout, IdleTimeout: operatorIdleTimeout, MaxHeaderBytes: maxCallHeaderBytes,
 		ErrorLog: loggers.StandardLogger("operators"),
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(operatorListener) }()
+	go func() { failed <- guard.Serve(server, operatorListener, intake.Upstreams) }()
 	logger := loggers.Logger("control")
 	logger.Info("Serving operators and upstreams.", "vm", settings.VM, "zone", settings.Zone, "address", settings.OperatorAddress, "first_start", settings.FirstStart)
 	for running := true; running; {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -13,11 +13,13 @@
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/gateway"
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/intake"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
 
@@ -36,6 +38,8 @@
 	// Seeds are the initially known control VMs.
 	Seeds  []core.VMID
 	Secret string
+	// Clients bounds what the clients of the process hold together.
+	Clients intake.Limits
 	// Repeats limits the sends after the first one of each request.
 	Repeats retry.Limits
 	// Grace is the time from the stop signal until the process is killed.
@@ -72,6 +76,7 @@
 	table       *fleet.Table
 	gateway     *gateway.Gateway
 	follower    *fleet.Follower
+	guard       *guard.Guard
 	callerConns callerConns
 	// otherConns holds the connections of other entry VMs that hand requests over.
 	otherConns callerConns
@@ -82,9 +87,11 @@
 // makes it read its settings again. The error reports that a listener cannot be opened or
 // that a server failed.
 func RunEntry(settings EntrySettings, dialect gateway.Dialect, loggers *logging.LoggerSet, stop <-chan struct{}, reload <-chan struct{}) error {
-	entry := &entry{settings: settings, loggers: loggers, logger: loggers.Logger("entry"), table: fleet.NewTable(settings.Zone)}
+	entry := &entry{settings: settings, loggers: loggers, logger: loggers.Logger("entry"), table: fleet.NewTable(settings.Zone), guard: &guard.Guard{Limits: settings.Clients}}
+	defer entry.guard.Watch()()
+	entry.guard.Register()
 	telemetry.RegisterGauge("dandelionring_routes_number", func() float64 { return float64(entry.table.RoutesNumber()) })
-	defer telemetry.Serve(settings.MetricsAddress, entry.logger)()
+	defer telemetry.Serve(settings.MetricsAddress, entry.guard.ServePlatform, entry.logger)()
 	identity := peer.Identity{VM: settings.VM, Zone: settings.Zone, Incarnation: core.Incarnation(ulid.Make().String()), Secret: []byte(settings.Secret)}
 	peerClient, closePeerClient := peer.NewClient(identity, nil, loggers.Logger("peer"))
 	defer closePeerClient()
@@ -97,7 +104,7 @@
 	defer closeFollower()
 	entry.follower = follower
 	gateway, closeGateway := gateway.New(gateway.Options{
-		Table: entry.table, Placer: follower, Dialect: dialect, Repeats: settings.Repeats,
+		Table: entry.table, Clients: entry.guard, Bodies: settings.Clients.WithDefaults().Bodies, Placer: follower, Dialect: dialect, Repeats: settings.Repeats,
 		Recorder: records, Crashes: follower, Limits: follower, Origins: follower, Logger: loggers.Logger("gateway"),
 	})
 	defer closeGateway()
@@ -127,12 +134,16 @@
 		readyListener.Close()
 		return err
 	}
+	callersListener = entry.guard.Listen(callersListener, intake.Callers, true)
+	if handoverListener != nil {
+		handoverListener = entry.guard.Listen(handoverListener, intake.Peers, true)
+	}
 	callers := &accepting{listener: callersListener, conns: &entry.callerConns, server: entry.newServer(&entry.callerConns, entry.gateway, "callers")}
 	others := &accepting{listener: handoverListener, conns: &entry.otherConns, server: entry.newServer(&entry.otherConns, entry.gateway.Takeover(), "handover")}
-	probes := &http.Server{Handler: http.HandlerFunc(entry.serveReadiness), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxCallHeaderBytes, ErrorLog: entry.loggers.StandardLogger("ready")}
+	probes := &http.Server{Handler: http.HandlerFunc(entry.serveReadiness), ErrorLog: entry.loggers.StandardLogger("ready")}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.serve() }()
-	go func() { failed <- probes.Serve(readyListener) }()
+	go func() { failed <- entry.guard.ServePlatform(probes, readyListener) }()
 	if handoverListener != nil {
 		go func() { failed <- others.serve() }()
 	}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -12,6 +13,8 @@
 	"github.com/charmbracelet/log"
 	"github.com/go-chi/chi/v5"
 
+	"github.com/dandelionring/dandelionring/internal/guard"
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
@@ -45,6 +48,10 @@
 
 // Options configures a Handler.
 type Options struct {
+	// Guard limits what operators hold; nil selects the defaults.
+	Guard *guard.Guard
+	// MaxList is the largest size of a list in a PUT, 32 MiB if it is zero.
+	MaxList core.Bytes
 	// TokenHashes are the lower-case hexadecimal SHA-256 hashes of the accepted tokens.
 	TokenHashes []core.KeyHash
 	Lists       listWriter
@@ -60,12 +67,15 @@
 // Handler serves the operator API under /admin/v1. Use New; the zero value is not usable.
 type Handler struct {
 	options Options
+	bodies  guard.Bodies
 	router  chi.Router
 }
 
 // New returns a handler with the given options.
 func New(options Options) *Handler {
-	handler := &Handler{options: options, router: chi.NewRouter()}
+	options.MaxList = cmp.Or(options.MaxList, maxListBytes)
+	// The largest list needs half of its size more while it is copied into a larger buffer.
+	handler := &Handler{options: options, bodies: guard.Bodies{Guard: options.Guard, Memory: h1.Memory{Limit: options.MaxList * 3 / 2}}, router: chi.NewRouter()}
 	handler.router.Route("/admin/v1", func(router chi.Router) {
 		router.Use(handler.authorize)
 		for _, kind := range []core.ListKind{core.PlansList, core.GrantsList} {
--- a/internal/operator/list.go
+++ b/internal/operator/list.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"io"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -11,15 +11,16 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/strict"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
 const (
-	// maxListBytes bounds the body of a PUT. It is several times the size of lists with
+	// maxListBytes is the default bound of the body of a PUT. It is several times the size of lists with
 	// 2,000 plans and 15,000 adapters.
-	maxListBytes = 32 << 20
+	maxListBytes core.Bytes = 32 << 20
 	// confirmTimeout bounds the wait for confirmations of the zones after a change was
 	// accepted.
 	confirmTimeout = time.Second
@@ -63,11 +64,16 @@
 }
 
 func (handler *Handler) putList(writer http.ResponseWriter, request *http.Request, kind core.ListKind) {
-	text, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, maxListBytes))
+	text, free, err := handler.bodies.Read(writer, request, handler.options.MaxList)
+	if errors.Is(err, h1.ErrMemory) {
+		writeJSON(writer, http.StatusServiceUnavailable, errorBody{Error: "other lists are being read; send the list again"})
+		return
+	}
 	if err != nil {
-		writeJSON(writer, http.StatusRequestEntityTooLarge, errorBody{Error: "the list is larger than 32 MiB or was cut off"})
+		writeJSON(writer, http.StatusRequestEntityTooLarge, errorBody{Error: fmt.Sprintf("the list is larger than %d bytes or was cut off", handler.options.MaxList)})
 		return
 	}
+	defer free()
 	put, faults := decodePut(kind, text)
 	if len(faults) > 0 {
 		writeJSON(writer, http.StatusUnprocessableEntity, Refused{faults})
@@ -175,11 +181,12 @@
 }
 
 func (handler *Handler) putLogLevel(writer http.ResponseWriter, request *http.Request) {
-	text, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, 1<<10))
+	text, free, err := handler.bodies.Read(writer, request, 1<<10)
 	if err != nil {
 		writeJSON(writer, http.StatusRequestEntityTooLarge, errorBody{Error: "the body is larger than 1 KiB or was cut off"})
 		return
 	}
+	defer free()
 	var body Level
 	reader := strict.NewReader("", text)
 	reader.Read(&body)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -57,6 +58,13 @@
 func (server *server) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+			server.logger.Warn("A link was not accepted.", "error", err)
+			if !server.pause(acceptPause) {
+				return
+			}
+			continue
+		}
 		if err != nil {
 			return
 		}
@@ -71,7 +79,27 @@
 	}
 }
 
+// acceptPause is the time until links are accepted again after a failure. Descriptors are free
+// again when other connections have ended.
+const acceptPause = 50 * time.Millisecond
+
+// pause waits for a time. It returns false if the server stops before.
+func (server *server) pause(length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-server.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// keeper is a connection that is not dropped for new ones once the other side is known to be a VM.
+type keeper interface{ Keep() }
+
 func (server *server) serveLink(conn net.Conn) {
+	accepted := conn
 	if server.self.TLS != nil {
 		conn = tls.Server(conn, server.self.TLS)
 	}
@@ -80,6 +108,9 @@
 		server.logger.Warn("Link refused.", "address", conn.RemoteAddr(), "error", err)
 		return
 	}
+	if keeper, ok := accepted.(keeper); ok {
+		keeper.Keep()
+	}
 	var open streamSet
 	batch := newBatchConn(conn, &open)
 	defer batch.Close()
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -171,6 +171,7 @@
 	faultIf(settings.AdapterLoadMillis < 1, "AdapterLoadMillis", "is not above 0")
 	faultIf(settings.DefaultDeadlineMillis <= settings.AdapterLoadMillis, "DefaultDeadlineMillis", "is not above AdapterLoadMillis, so no request could wait for a load")
 	faultIf(settings.MaxBodyBytes < 1 || settings.MaxBodyBytes > maxBodyLimit, "MaxBodyBytes", fmt.Sprintf("is not in 1..%d", maxBodyLimit))
+	settings.checkClients(faultIf)
 	faultIf(settings.ConvictionSeconds < 1, "ConvictionSeconds", "is not above 0")
 	faultIf(settings.ClaimRetentionSeconds.Duration() <= settings.DefaultDeadlineMillis.Duration(), "ClaimRetentionSeconds", "is not above DefaultDeadlineMillis, so a claim could end before its call")
 	faultIf(settings.ClaimShards < 1 || settings.ClaimShards > maxClaimShards, "ClaimShards", fmt.Sprintf("is not in 1..%d", maxClaimShards))
@@ -178,6 +179,41 @@
 	faultIf(settings.AuditRotateBytes < minRotateBytes, "AuditRotateBytes", fmt.Sprintf("is below %d", minRotateBytes))
 }
 
+const (
+	// minList and maxList bound the limit of a list: one with 2,000 plans and 15,000 adapters has
+	// some MiB, and its decoding takes several times as much.
+	minList core.Bytes = 64 << 10
+	maxList core.Bytes = 32 << 20
+	// minConnections leaves a few connections to each kind of client.
+	minConnections = 64
+	maxConnections = 1 << 20
+	// minHeadFields is above the number of lines that clients with proxies before them send.
+	minHeadFields = 64
+	maxHeadFields = 1 << 16
+	// minHeads is enough for the largest permitted head.
+	minHeads core.Bytes = 1 << 20
+	// minMemory is twice the memory of a VM without clients.
+	minMemory core.Bytes = 64 << 20
+	// The bounds of the times that clients have, in seconds.
+	maxHeadSeconds, maxIdleSeconds, maxStallSeconds = 60, 3600, 600
+	// minStallSeconds is above the time in which a lost TCP segment is sent again.
+	minStallSeconds = 2
+)
+
+// checkClients checks the limits of what clients hold.
+func (settings *Settings) checkClients(faultIf func(bad bool, key, reason string)) {
+	outside := func(value, lowest, highest int64) bool { return value < lowest || value > highest }
+	faultIf(settings.MaxBodiesBytes < 2*settings.MaxBodyBytes, "MaxBodiesBytes", "is below twice MaxBodyBytes")
+	faultIf(settings.MaxListBytes < minList || settings.MaxListBytes > maxList, "MaxListBytes", fmt.Sprintf("is not in %d..%d", minList, maxList))
+	faultIf(settings.MaxConnections != 0 && outside(int64(settings.MaxConnections), minConnections, maxConnections), "MaxConnections", fmt.Sprintf("is not 0 or in %d..%d", minConnections, maxConnections))
+	faultIf(outside(int64(settings.MaxHeadFields), minHeadFields, maxHeadFields), "MaxHeadFields", fmt.Sprintf("is not in %d..%d", minHeadFields, maxHeadFields))
+	faultIf(settings.MaxHeadsBytes < minHeads, "MaxHeadsBytes", fmt.Sprintf("is below %d", minHeads))
+	faultIf(outside(int64(settings.HeadSeconds), 1, maxHeadSeconds), "HeadSeconds", fmt.Sprintf("is not in 1..%d", maxHeadSeconds))
+	faultIf(outside(int64(settings.IdleSeconds), 1, maxIdleSeconds), "IdleSeconds", fmt.Sprintf("is not in 1..%d", maxIdleSeconds))
+	faultIf(outside(int64(settings.ClientStallSeconds), minStallSeconds, maxStallSeconds), "ClientStallSeconds", fmt.Sprintf("is not in %d..%d", minStallSeconds, maxStallSeconds))
+	faultIf(settings.MemoryBytes != 0 && settings.MemoryBytes < minMemory, "MemoryBytes", fmt.Sprintf("is not 0 and below %d", minMemory))
+}
+
 func (settings *Settings) checkTLS(reader *strict.Reader) {
 	checkTLSSection(reader, "CallerTLS", settings.CallerTLS)
 	checkTLSSection(reader, "OperatorTLS", settings.OperatorTLS)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -33,6 +33,21 @@
 
 	DefaultDeadlineMillis Millis
 	MaxBodyBytes          core.Bytes
+	// MaxBodiesBytes bounds the bodies of callers and upstreams that are held together.
+	MaxBodiesBytes core.Bytes
+	// MaxListBytes bounds the lists that operators send.
+	MaxListBytes core.Bytes
+
+	// MaxConnections is zero for three eighths of the descriptors that the process may
+	// open, at most 4096.
+	MaxConnections     int
+	MaxHeadFields      int
+	MaxHeadsBytes      core.Bytes
+	HeadSeconds        Seconds
+	IdleSeconds        Seconds
+	ClientStallSeconds Seconds
+	// MemoryBytes is the memory of the process, zero if it is not limited.
+	MemoryBytes core.Bytes
 
 	ConvictionSeconds     Seconds
 	ClaimRetentionSeconds Seconds
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 
@@ -27,6 +28,6 @@
 // TestServeWithoutAddress guards against a VM that fails because its metrics cannot be
 // served.
 func TestServeWithoutAddress(t *testing.T) {
-	Serve("", log.New(io.Discard))()
-	Serve("192.0.2.1:1", log.New(io.Discard))() // TEST-NET-1, assigned to no machine
+	Serve("", (*http.Server).Serve, log.New(io.Discard))()
+	Serve("192.0.2.1:1", (*http.Server).Serve, log.New(io.Discard))() // TEST-NET-1, assigned to no machine
 }
--- a/internal/upstream/announce.go
+++ b/internal/upstream/announce.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -125,15 +124,3 @@
 	}
 	return message.Upstream, message.Incarnation, message.Events, nil
 }
-
-// readJSON reads one JSON value from the request body. It returns an error if the body is
-// not JSON or exceeds limit, in bytes.
-func readJSON(writer http.ResponseWriter, request *http.Request, limit int64) ([]byte, error) {
-	request.Body = http.MaxBytesReader(writer, request.Body, limit)
-	defer request.Body.Close()
-	var body json.RawMessage
-	if err := json.NewDecoder(request.Body).Decode(&body); err != nil {
-		return nil, errors.Wrap(err, "read body")
-	}
-	return body, nil
-}
--- a/internal/upstream/handler.go
+++ b/internal/upstream/handler.go
@@ -8,7 +8,10 @@
 	"strings"
 
 	"github.com/go-chi/chi/v5"
+	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/guard"
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -22,9 +25,10 @@
 }
 
 // NewHandler returns the handler for the announcements and cache events of upstreams.
-// Requests must carry the token as bearer token; an empty token disables the check.
-func NewHandler(token string, registry registry) http.Handler {
-	handler := &handler{token: token, registry: registry}
+// Requests must carry the token as bearer token; an empty token disables the check. Bodies for
+// which bodies has no room are refused.
+func NewHandler(token string, registry registry, bodies *guard.Bodies) http.Handler {
+	handler := &handler{token: token, registry: registry, bodies: bodies}
 	router := chi.NewRouter()
 	router.Use(handler.authorize)
 	router.Post("/v1/announce", handler.announce)
@@ -35,6 +39,7 @@
 type handler struct {
 	token    string
 	registry registry
+	bodies   *guard.Bodies
 }
 
 // announceResponse is the JSON body of the response to an announcement or to cache events.
@@ -57,12 +62,22 @@
 	})
 }
 
+// refuseBody answers a request whose body was not read.
+func refuseBody(writer http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	if errors.Is(err, h1.ErrMemory) {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(writer, status, announceResponse{Reason: err.Error()})
+}
+
 func (handler *handler) announce(writer http.ResponseWriter, request *http.Request) {
-	body, err := readJSON(writer, request, maxAnnouncementBytes)
+	body, free, err := handler.bodies.Read(writer, request, maxAnnouncementBytes)
 	if err != nil {
-		writeJSON(writer, http.StatusBadRequest, announceResponse{Reason: err.Error()})
+		refuseBody(writer, err)
 		return
 	}
+	defer free()
 	announcement, faults, err := DecodeAnnouncement(body)
 	if err != nil {
 		writeJSON(writer, http.StatusBadRequest, announceResponse{Reason: err.Error()})
@@ -81,11 +96,12 @@
 }
 
 func (handler *handler) cacheEvents(writer http.ResponseWriter, request *http.Request) {
-	body, err := readJSON(writer, request, maxAnnouncementBytes)
+	body, free, err := handler.bodies.Read(writer, request, maxAnnouncementBytes)
 	if err != nil {
-		writeJSON(writer, http.StatusBadRequest, announceResponse{Reason: err.Error()})
+		refuseBody(writer, err)
 		return
 	}
+	defer free()
 	upstream, incarnation, events, err := DecodeCacheEvents(body)
 	if err != nil {
 		writeJSON(writer, http.StatusBadRequest, announceResponse{Reason: err.Error()})
--- a/internal/vm/listen.go
+++ b/internal/vm/listen.go
@@ -11,14 +11,13 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/truncation"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/intake"
 )
 
-// readHeaderTimeout limits the time that a client may take to send its headers.
-const readHeaderTimeout = 10 * time.Second
-
 // maxHeaderBytes bounds the headers of a request. The default of net/http is 1 MiB, which many
 // connections multiply.
 const maxHeaderBytes = 64 << 10
@@ -87,13 +86,26 @@
 	return nil
 }
 
-// serveHTTP serves HTTP requests on a listener, with TLS if certificates is not nil. The
+// port is how a port for HTTP is served.
+type port struct {
+	guard *guard.Guard
+	class intake.Class
+	// headTime and idleTime bound the time for a head and between two requests. Zero sets no
+	// limit.
+	headTime, idleTime time.Duration
+	// certificates is nil for a port without TLS.
+	certificates *tls.Config
+}
+
+// serve serves HTTP requests on a listener. The
 // returned shutdown function stops accepting connections and waits for the requests in
 // flight. If its context ends first, it closes the server and returns an error.
-func serveHTTP(listener net.Listener, certificates *tls.Config, handler http.Handler) (shutdown func(context.Context) error) {
+func (port port) serve(listener net.Listener, handler http.Handler) (shutdown func(context.Context) error) {
+	certificates := port.certificates
+	listener = port.guard.Listen(listener, port.class, certificates == nil)
 	server := &http.Server{
-		Handler: truncation.Handler(handler), ConnContext: truncation.ConnContext,
-		ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, TLSConfig: certificates,
+		Handler: truncation.Handler(guard.Handler(handler)), ConnContext: truncation.ConnContext, ConnState: guard.State,
+		ReadHeaderTimeout: port.headTime, IdleTimeout: port.idleTime, MaxHeaderBytes: maxHeaderBytes, TLSConfig: certificates,
 	}
 	done := make(chan struct{})
 	go func() {
--- a/internal/vm/listen_test.go
+++ b/internal/vm/listen_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/dandelionring/dandelionring/internal/guard"
 )
 
 // TestLargeHeader guards against callers that take the memory of a VM with headers without end:
@@ -19,7 +21,7 @@
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	shutdown := serveHTTP(listener, nil, http.NotFoundHandler())
+	shutdown := port{guard: &guard.Guard{}}.serve(listener, http.NotFoundHandler())
 	defer func() { is.NoErr(shutdown(context.Background())) }()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	is.NoErr(err)
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -2,16 +2,24 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
 	"os"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
+	"golang.org/x/sys/unix"
 
 	"github.com/dandelionring/dandelionring/internal/caller"
 	"github.com/dandelionring/dandelionring/internal/dispatch"
 	"github.com/dandelionring/dandelionring/internal/entry"
+	"github.com/dandelionring/dandelionring/internal/guard"
+	"github.com/dandelionring/dandelionring/internal/h1"
 	"github.com/dandelionring/dandelionring/internal/host"
 	"github.com/dandelionring/dandelionring/internal/logging"
 	"github.com/dandelionring/dandelionring/internal/operator"
@@ -21,6 +29,7 @@
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/upstream"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/intake"
 )
 
 // claimTimeout is the time after which a claim without a recorded outcome counts as
@@ -39,6 +48,7 @@
 	logger    *log.Logger
 	self      peer.Identity
 	listeners listeners
+	guard     *guard.Guard
 	closers   cleanUp
 
 	client   *peer.Client
@@ -62,14 +72,61 @@
 // addresses as one line of JSON to standard output. It returns an error if the VM cannot
 // be built or its servers cannot be started.
 func Run(ctx context.Context, settings settings.Settings) error {
-	vm := &vm{settings: settings}
+	limits, err := clientLimits(settings)
+	if err != nil {
+		return err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(softMemoryShare * float64(settings.MemoryBytes)))
+	}
+	vm := &vm{settings: settings, guard: &guard.Guard{Limits: limits}}
 	defer vm.closers.run()
+	vm.closers.add(vm.guard.Watch())
+	vm.guard.Register()
 	if err := vm.build(); err != nil {
 		return err
 	}
 	return vm.serve(ctx)
 }
 
+const (
+	// upstreamBodies bounds the announcements and cache events that are held at the same time,
+	// apart from the bodies of callers: upstreams must be heard while callers fill theirs.
+	upstreamBodies core.Bytes = 8 << 20
+	// upstreamBodyTime is the time after which an announcement is too late: it is sent every
+	// second.
+	upstreamBodyTime = 3 * time.Second
+)
+
+const (
+	// softMemoryShare is the part of the memory of the process above which the garbage collector
+	// runs more often. The rest is for data in socket buffers.
+	softMemoryShare = 0.6
+	// mostConnections is the largest number of connections without a setting. They take up to
+	// 96 MB.
+	mostConnections = 4096
+	// descriptorEighths is the part of the descriptors of the process, in eighths, for
+	// connections without a setting; upstreams may need as many.
+	descriptorEighths = 3
+)
+
+// clientLimits returns the limits of what clients hold. Without a setting for connections they
+// may use three eighths of the descriptors of the process.
+func clientLimits(settings settings.Settings) (intake.Limits, error) {
+	limits := intake.Limits{
+		Connections: settings.MaxConnections, HeadFields: settings.MaxHeadFields, Heads: settings.MaxHeadsBytes,
+		Bodies: settings.MaxBodiesBytes, Stall: settings.ClientStallSeconds.Duration(),
+	}
+	if limits.Connections == 0 {
+		var descriptors unix.Rlimit
+		if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &descriptors); err != nil {
+			return limits, errors.Wrap(err, "read the limit of descriptors")
+		}
+		limits.Connections = int(min(descriptors.Cur/8*descriptorEighths, mostConnections))
+	}
+	return limits, nil
+}
+
 func (vm *vm) build() error {
 	loggers, err := logging.New(os.Stderr, vm.settings.LogLevel, vm.settings.SharedSecret, vm.settings.UpstreamToken)
 	if err != nil {
@@ -154,7 +211,7 @@
 		info:        infoHandler{vm: vm},
 		host:        vm.storage.host,
 	}
-	closePeers := peer.Serve(vm.listeners.peer, vm.self, handler, vm.loggers.Logger("peer"))
+	closePeers := peer.Serve(vm.guard.Listen(vm.listeners.peer, intake.Peers, false), vm.self, handler, vm.loggers.Logger("peer"))
 	vm.closers.add(closePeers)
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -187,6 +244,8 @@
 		return servers{}, err
 	}
 	operators := operator.New(operator.Options{
+		Guard:          vm.guard,
+		MaxList:        vm.settings.MaxListBytes,
 		TokenHashes:    vm.settings.OperatorTokenHashes,
 		Lists:          vm.storage.commands,
 		NotAccepted:    []error{host.ErrNotCommitted, host.ErrNoQuorum},
@@ -195,9 +254,14 @@
 		Levels:         vm.loggers,
 		Logger:         vm.loggers.Logger("operator"),
 	})
+	callers := caller.New(vm.entry, vm, vm.settings.MaxBodyBytes, &guard.Bodies{Guard: vm.guard, Memory: h1.Memory{Limit: vm.settings.MaxBodiesBytes}})
+	serve := func(listener net.Listener, class intake.Class, certificates *tls.Config, handler http.Handler) func(context.Context) error {
+		port := port{vm.guard, class, vm.settings.HeadSeconds.Duration(), vm.settings.IdleSeconds.Duration(), certificates}
+		return port.serve(listener, handler)
+	}
 	return servers{
-		callers:   serveHTTP(vm.listeners.caller, callerTLS, caller.New(vm.entry, vm, vm.settings.MaxBodyBytes).Router()),
-		operators: serveHTTP(vm.listeners.operator, operatorTLS, operators),
-		upstreams: serveHTTP(vm.listeners.upstream, nil, upstream.NewHandler(vm.settings.UpstreamToken, vm.registry)),
+		callers:   serve(vm.listeners.caller, intake.Callers, callerTLS, callers.Router()),
+		operators: serve(vm.listeners.operator, intake.Upstreams, operatorTLS, operators),
+		upstreams: serve(vm.listeners.upstream, intake.Upstreams, nil, upstream.NewHandler(vm.settings.UpstreamToken, vm.registry, &guard.Bodies{Guard: vm.guard, Memory: h1.Memory{Limit: upstreamBodies}, Time: upstreamBodyTime})),
 	}, nil
 }
