Answer all requests in a planned stop of the own deployments

Cause: The shutdown of net/http closes connections whose next head it has begun to read, and requests that run at the drain deadline were cut without an answer. Change: Guard.Drain closes the connections on which no request has begun, and the others after their next response. 0.5 s before the drain deadline (a quarter of a short one) the requests that still run end with entry.ErrStopping: 503 draining if they have not run, otherwise 502 with their outcome. Calls under a claim end then too. Operators have a class of their own.

--- a/internal/entry/claimed.go
+++ b/internal/entry/claimed.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -15,6 +16,10 @@
 // the request, so it continues after the caller left.
 const recordTimeout = 10 * time.Second
 
+// lastRecordTimeout replaces recordTimeout while the VM stops: the caller must get its response
+// before the process ends. A claim without an outcome counts as unknown.
+const lastRecordTimeout = 200 * time.Millisecond
+
 // runClaimed runs a call that may not be repeated. It sends the call only after the
 // idempotency key was claimed, and records the outcome.
 func (active *activeRequest) runClaimed(ctx context.Context) core.End {
@@ -26,7 +31,7 @@
 	if err != nil {
 		// The claim may have been committed although its answer was lost. Nothing was
 		// sent, so recording that the call did not run releases the key.
-		go active.recordOutcome(claimID, core.End{Outcome: core.NotRun})
+		go active.recordOutcome(claimID, core.End{Outcome: core.NotRun}, recordTimeout)
 		refusal := active.lifecycle.Claim(attempt.ClaimUnavailable)
 		refusal.Message += ": " + err.Error()
 		return core.RefusedEnd("", refusal)
@@ -42,13 +47,24 @@
 }
 
 // runWithClaim runs the call and records its outcome. The call continues after the
-// caller left, for at most the duration of the claim.
+// caller left, for at most the duration of the claim, until the VM stops.
 func (active *activeRequest) runWithClaim(ctx context.Context, claimID core.AttemptID) core.End {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), active.entry.ClaimHold)
-	defer cancel()
-	end := active.runAttempts(ctx)
+	running, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
+	defer context.AfterFunc(ctx, func() {
+		if errors.Is(context.Cause(ctx), ErrStopping) {
+			cancel(ErrStopping)
+		}
+	})()
+	held, release := context.WithTimeout(running, active.entry.ClaimHold)
+	defer release()
+	end := active.runAttempts(held)
 	end.Outcome = active.lifecycle.Outcome()
-	active.recordOutcome(claimID, end)
+	limit := recordTimeout
+	if errors.Is(context.Cause(running), ErrStopping) {
+		limit = lastRecordTimeout
+	}
+	active.recordOutcome(claimID, end, limit)
 	return end
 }
 
@@ -97,9 +113,9 @@
 }
 
 // recordOutcome records the outcome of the call, and the answer if it is complete, in
-// the replicated state.
-func (active *activeRequest) recordOutcome(claimID core.AttemptID, end core.End) {
-	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+// the replicated state, within the time limit.
+func (active *activeRequest) recordOutcome(claimID core.AttemptID, end core.End, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	record := ledger.Record{
 		Customer: active.admitted.Plan.Customer,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/oklog/ulid/v2"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -98,7 +99,7 @@
 		end := active.runAttempt(ctx, targets, targetIndex)
 		active.reportCrash(end)
 		if active.isCanceled(ctx) && !end.Whole {
-			return core.RefusedEnd(active.lifecycle.Attempt(), active.lifecycle.Cancel())
+			return core.RefusedEnd(active.lifecycle.Attempt(), active.cancel(ctx))
 		}
 		decision := active.entry.decide(active.lifecycle, end, len(targets))
 		if refusal := active.checkQuarantine(); refusal != nil && decision.Action != attempt.Finish {
@@ -119,11 +120,28 @@
 			targetIndex++
 		}
 		if !wait(ctx, decision.After) {
-			return core.RefusedEnd(active.answer.Attempt, active.lifecycle.Cancel())
+			return core.RefusedEnd(active.answer.Attempt, active.cancel(ctx))
 		}
 	}
 }
 
+// ErrStopping is the cause of the end of a request's context if the VM stops and there is only
+// time left to tell the caller.
+var ErrStopping = errors.New("this VM stops")
+
+// cancel ends the request after its context has ended. The caller gets the refusal if it has not
+// left: the request may be sent again at once if it has not run.
+func (active *activeRequest) cancel(ctx context.Context) *core.Refusal {
+	refusal := active.lifecycle.Cancel()
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		refusal.Message = ErrStopping.Error()
+		if refusal.Outcome == core.NotRun {
+			refusal.Code = core.CodeDraining
+		}
+	}
+	return refusal
+}
+
 // isCanceled reports whether the request must stop: its context ended, or it may be
 // repeated and writing to the caller failed. A call that may not be repeated
 // continues without its caller, so that its outcome can be recorded.
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -29,8 +29,8 @@
 	body atomic.Int64
 	// headCost is the memory that the head takes, in bytes.
 	headCost atomic.Int64
-	// serving is set from the end of a head to the end of its response.
-	serving atomic.Bool
+	// phase is a phase.
+	phase atomic.Int32
 
 	// The fields below are used by the goroutine that reads.
 
@@ -41,6 +41,20 @@
 	ended                bool
 }
 
+// phase is the state of a connection between and during requests.
+type phase = int32
+
+const (
+	// phaseIdle is the time before the first byte of a request.
+	phaseIdle phase = iota
+	// phaseHead is the time from the first byte of a request to the end of its head.
+	phaseHead
+	// phaseServing is the time from the end of the head to the end of the response.
+	phaseServing
+	// phaseClosed begins with the decision to close an idle connection.
+	phaseClosed
+)
+
 const (
 	// enoughRead is the number of bytes that count as progress of a client that sends. A client
 	// that sends single bytes makes none.
@@ -71,7 +85,7 @@
 // single bytes to notice the end of the connection; the client has nothing to send then. With
 // TLS this cannot be told from the reading of a body.
 func (conn *Conn) Read(buffer []byte) (int, error) {
-	if len(buffer) == 1 || !conn.plain && conn.serving.Load() {
+	if len(buffer) == 1 || !conn.plain && conn.phase.Load() == phaseServing {
 		conn.reading.Store(0)
 		return conn.Conn.Read(buffer) //nolint:wrapcheck // servers look at the error itself
 	}
@@ -83,8 +97,13 @@
 	if conn.fresh += count; conn.fresh >= enoughRead {
 		conn.reading.Store(0)
 	}
-	switch {
-	case conn.serving.Load():
+	if count > 0 {
+		conn.phase.CompareAndSwap(phaseIdle, phaseHead)
+	}
+	switch phase := conn.phase.Load(); {
+	case phase == phaseClosed:
+		return 0, net.ErrClosed
+	case phase == phaseServing:
 		conn.body.Add(int64(count))
 	case conn.plain && !conn.ended:
 		if status, reason := conn.countHead(buffer[:count]); reason != "" {
@@ -142,14 +161,24 @@
 func (conn *Conn) state(state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		conn.serving.Store(true)
+		conn.phase.Store(phaseServing)
 		conn.reading.Store(0)
 	case http.StateIdle:
-		conn.serving.Store(false)
 		conn.body.Store(0)
 		conn.freeHead()
 		conn.headBytes, conn.headLines, conn.ended = 0, 0, false
 		conn.reading.Store(0)
+		conn.phase.Store(phaseIdle)
+		if conn.guard.stopping[conn.class].Load() {
+			conn.closeIdle()
+		}
+	}
+}
+
+// closeIdle closes the connection if no byte of a request was read since the last response.
+func (conn *Conn) closeIdle() {
+	if conn.phase.CompareAndSwap(phaseIdle, phaseClosed) {
+		conn.Conn.Close()
 	}
 }
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -36,10 +36,16 @@
 	// clock, and the time in which the process stands still is not the clients'.
 	ticks atomic.Int64
 
+	// stopping holds for each class whether its connections close after their next response.
+	stopping [intake.Classes]atomic.Bool
+
 	// lock is a leaf lock: no other lock is acquired while it is held. It guards the fields below.
 	lock  sync.Mutex
 	table intake.Table
 	conns map[*Conn]struct{}
+	// empty holds for each class the channel that is closed once it has no connections, nil while
+	// nobody waits for that.
+	empty [intake.Classes]chan struct{}
 }
 
 // tick is the unit in which clients are timed. It is short against the times after which they
@@ -139,9 +145,71 @@
 	if _, ok := guard.conns[conn]; ok {
 		delete(guard.conns, conn)
 		guard.table.Closed(conn.class)
+		guard.noteEmpty(conn.class)
+	}
+}
+
+// noteEmpty tells those that wait for the end of the connections of a class if there are none.
+// The caller holds the lock.
+func (guard *Guard) noteEmpty(class intake.Class) {
+	if guard.table.Count(class) == 0 && guard.empty[class] != nil {
+		close(guard.empty[class])
+		guard.empty[class] = nil
+	}
+}
+
+// Drain closes the connections of a class on which no request has begun, and makes the others
+// close after their next response. It returns a channel that is closed once there are none. The
+// listener must be closed before, and Drain must be called once. The shutdown of net/http would
+// also close connections whose next head it has begun to read.
+func (guard *Guard) Drain(class intake.Class) <-chan struct{} {
+	guard.stopping[class].Store(true)
+	guard.lock.Lock()
+	defer guard.lock.Unlock()
+	for conn := range guard.conns {
+		if conn.class == class {
+			conn.closeIdle()
+		}
 	}
+	empty := make(chan struct{})
+	guard.empty[class] = empty
+	guard.noteEmpty(class)
+	return empty
 }
 
+// CloseAfterResponse adds "Connection: close" to each response of a class whose head handler
+// writes after Drain was called.
+func (guard *Guard) CloseAfterResponse(class intake.Class, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		handler.ServeHTTP(closingWriter{writer, &guard.stopping[class]}, request)
+	})
+}
+
+// closingWriter adds "Connection: close" to responses while the process stops.
+type closingWriter struct {
+	http.ResponseWriter
+	stopping *atomic.Bool
+}
+
+// WriteHeader writes the head of the response.
+func (writer closingWriter) WriteHeader(status int) {
+	if writer.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+	}
+	writer.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the body, after the head.
+func (writer closingWriter) Write(content []byte) (int, error) {
+	if writer.stopping.Load() {
+		writer.Header().Set("Connection", "close") // has no effect after the head
+	}
+	return writer.ResponseWriter.Write(content) //nolint:wrapcheck // the handler's own writer
+}
+
+// Unwrap returns the server's writer for http.ResponseController.
+func (writer closingWriter) Unwrap() http.ResponseWriter { return writer.ResponseWriter }
+
 // present returns a mark of the present time, which is not zero.
 func (guard *Guard) present() int64 { return guard.ticks.Load() + 1 }
 
@@ -155,7 +223,7 @@
 
 // Register adds gauges of the connections and of the memory for heads to the metrics.
 func (guard *Guard) Register() {
-	for class := range intake.Upstreams + 1 {
+	for class := range intake.Classes {
 		telemetry.RegisterGauge(`dandelionring_client_connections{class="`+class.String()+`"}`, func() float64 {
 			guard.lock.Lock()
 			defer guard.lock.Unlock()
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -279,7 +279,7 @@
 	defer server.Close()
 	go func() { _, _ = io.Copy(io.Discard, client) }()
 	conn := &Conn{Conn: nothing{server}, guard: &Guard{}, plain: true}
-	conn.serving.Store(true)
+	conn.phase.Store(phaseServing)
 	buffer := make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/vm/listen.go
+++ b/internal/vm/listen.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/entry"
 	"github.com/dandelionring/dandelionring/internal/guard"
 	"github.com/dandelionring/dandelionring/internal/settings"
 	"github.com/dandelionring/dandelionring/internal/truncation"
@@ -97,14 +98,21 @@
 	certificates *tls.Config
 }
 
-// serve serves HTTP requests on a listener. The
-// returned shutdown function stops accepting connections and waits for the requests in
-// flight. If its context ends first, it closes the server and returns an error.
+// answerMargin is the part of the time for a drain in which the last responses are written, at
+// most a quarter of that time.
+const answerMargin = 500 * time.Millisecond
+
+// serve serves HTTP requests on a listener. The returned shutdown function stops accepting
+// connections and waits for the requests in flight, also those whose heads are read. Shortly
+// before its context ends, the requests that still run end with the cause entry.ErrStopping, so
+// that they are answered. What is left when it ends is closed, and an error is returned.
 func (port port) serve(listener net.Listener, handler http.Handler) (shutdown func(context.Context) error) {
 	certificates := port.certificates
 	listener = port.guard.Listen(listener, port.class, certificates == nil)
+	requests, endRequests := context.WithCancelCause(context.Background())
 	server := &http.Server{
-		Handler: truncation.Handler(guard.Handler(handler)), ConnContext: truncation.ConnContext, ConnState: guard.State,
+		Handler:     truncation.Handler(guard.Handler(port.guard.CloseAfterResponse(port.class, handler))),
+		BaseContext: func(net.Listener) context.Context { return requests }, ConnContext: truncation.ConnContext, ConnState: guard.State,
 		ReadHeaderTimeout: port.headTime, IdleTimeout: port.idleTime, MaxHeaderBytes: maxHeaderBytes, TLSConfig: certificates,
 	}
 	done := make(chan struct{})
@@ -117,14 +125,21 @@
 		_ = server.Serve(listener)
 	}()
 	return func(ctx context.Context) error {
-		err := server.Shutdown(ctx)
-		if err != nil {
-			server.Close()
-		}
+		defer endRequests(nil)
+		listener.Close()
 		<-done
-		if err != nil {
-			return errors.Wrap(err, "shut down")
+		ended := port.guard.Drain(port.class)
+		if deadline, ok := ctx.Deadline(); ok {
+			left := time.Until(deadline)
+			timer := time.AfterFunc(left-min(answerMargin, left/4), func() { endRequests(entry.ErrStopping) })
+			defer timer.Stop()
+		}
+		select {
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			server.Close()
+			return errors.Wrap(context.Cause(ctx), "shut down")
 		}
-		return nil
 	}
 }
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -261,7 +261,7 @@
 	}
 	return servers{
 		callers:   serve(vm.listeners.caller, intake.Callers, callerTLS, callers.Router()),
-		operators: serve(vm.listeners.operator, intake.Upstreams, operatorTLS, operators),
+		operators: serve(vm.listeners.operator, intake.Operators, operatorTLS, operators),
 		upstreams: serve(vm.listeners.upstream, intake.Upstreams, nil, upstream.NewHandler(vm.settings.UpstreamToken, vm.registry, &guard.Bodies{Guard: vm.guard, Memory: h1.Memory{Limit: upstreamBodies}, Time: upstreamBodyTime})),
 	}, nil
 }
--- a/pkg/policy/intake/script_test.go
+++ b/pkg/policy/intake/script_test.go
@@ -15,7 +15,7 @@
 // upstreams, against dropping a client that makes progress, and against limits that do not follow
 // from the process. The load: as many connections as the process may have, of any class.
 func TestScripts(t *testing.T) {
-	names := map[string]Class{"callers": Callers, "platform": Platform, "peers": Peers, "upstreams": Upstreams}
+	names := map[string]Class{"callers": Callers, "platform": Platform, "peers": Peers, "operators": Operators, "upstreams": Upstreams}
 	datadriven.RunTest(t, "testdata/table", func(t *testing.T, data *datadriven.TestData) string {
 		if data.Cmd == "process" {
 			var memory, descriptors int
--- a/pkg/policy/intake/table.go
+++ b/pkg/policy/intake/table.go
@@ -16,14 +16,17 @@
 	Platform
 	// Peers are other VMs.
 	Peers
-	// Upstreams are operators and upstreams.
+	// Operators change and read what is in force.
+	Operators
+	// Upstreams announce themselves; on a control VM, operators use the same port.
 	Upstreams
-	classes
+	// Classes is the number of classes.
+	Classes
 )
 
 // String returns the name of the class as metrics have it.
 func (class Class) String() string {
-	return [...]string{"callers", "platform", "peers", "upstreams"}[class]
+	return [...]string{"callers", "platform", "peers", "operators", "upstreams"}[class]
 }
 
 // reserveShare is the part of the connections, as 1/n, that is kept for each class but Callers.
@@ -47,7 +50,7 @@
 // connections. It is not safe for concurrent use.
 type Table struct {
 	Limits Limits
-	open   [classes]int
+	open   [Classes]int
 }
 
 // Open returns what to do with a new connection. An accepted one must be reported to Opened.
@@ -56,7 +59,7 @@
 		return Accept
 	}
 	free := table.Limits.WithDefaults().Connections
-	for each := range classes {
+	for each := range Classes {
 		free -= max(table.open[each], table.reserve(each))
 	}
 	if free > 0 {
