Count the prompts that engines have not read in the selection

Cause: an engine reads one prompt after another, and a request was sent by the number of running requests only. Change: entry VMs count the tokens of prompts in flight of which no event has arrived, and report them with the requests in flight; the time that an engine needs for them, at a rate learned from first events, counts in the cost in proportion to the objective of the request. If it exceeds the time of a load, the request waits for another copy of its adapter, at most that long.

--- a/internal/control/usage.go
+++ b/internal/control/usage.go
@@ -31,10 +31,15 @@
 	return sum
 }
 
+// maxReportedTokens bounds the tokens of one report, so that sums do not overflow.
+const maxReportedTokens = 1 << 40
+
 // usageReport is the last report of an entry VM on its requests in flight in one zone.
 type usageReport struct {
 	at        time.Duration
 	upstreams map[core.UpstreamID]upstreamUse
+	// prompts holds the tokens of the prompts that the upstreams have not read.
+	prompts map[core.UpstreamID]core.Tokens
 }
 
 // usageTable holds the usage reports of all entry VMs and their sums by upstream. A report
@@ -44,6 +49,7 @@
 type usageTable struct {
 	reports map[usageKey]usageReport
 	sums    map[core.UpstreamID]upstreamUse
+	prompts map[core.UpstreamID]core.Tokens
 	// nextExpiry is the time of the next search for expired reports.
 	nextExpiry time.Duration
 }
@@ -54,6 +60,7 @@
 	if table.reports == nil {
 		table.reports = make(map[usageKey]usageReport)
 		table.sums = make(map[core.UpstreamID]upstreamUse)
+		table.prompts = make(map[core.UpstreamID]core.Tokens)
 	}
 	changed := make(map[core.UpstreamID]bool)
 	table.add(table.reports[key], -1, changed)
@@ -97,6 +104,11 @@
 			}
 		}
 	}
+	for id, tokens := range report.prompts {
+		if table.prompts[id] += core.Tokens(sign) * tokens; table.prompts[id] == 0 {
+			delete(table.prompts, id)
+		}
+	}
 }
 
 // removeUnused removes the sums without requests among the given upstreams.
@@ -140,7 +152,9 @@
 			continue
 		}
 		if others := sum.total() - own.upstreams[id].total(); others > 0 {
-			result.Upstreams = append(result.Upstreams, &wire.UpstreamUse{Upstream: string(id), Running: uint32(others)})
+			result.Upstreams = append(result.Upstreams, &wire.UpstreamUse{
+				Upstream: string(id), Running: uint32(others), PromptTokens: uint64(max(0, control.usage.prompts[id]-own.prompts[id])),
+			})
 		}
 	}
 	return result
@@ -148,7 +162,7 @@
 
 // parseUsage returns the requests in flight of a report.
 func parseUsage(now time.Duration, request *wire.Usage) usageReport {
-	own := usageReport{at: now, upstreams: make(map[core.UpstreamID]upstreamUse)}
+	own := usageReport{at: now, upstreams: make(map[core.UpstreamID]upstreamUse), prompts: make(map[core.UpstreamID]core.Tokens)}
 	for _, upstream := range request.GetUpstreams() {
 		use := make(upstreamUse)
 		for _, weights := range upstream.GetWeights() {
@@ -158,6 +172,9 @@
 			use[core.WeightKey{}] = rest
 		}
 		own.upstreams[core.UpstreamID(upstream.GetUpstream())] = use
+		if tokens := upstream.GetPromptTokens(); tokens > 0 {
+			own.prompts[core.UpstreamID(upstream.GetUpstream())] = core.Tokens(min(tokens, maxReportedTokens))
+		}
 	}
 	return own
 }
--- a/internal/control/usage_test.go
+++ b/internal/control/usage_test.go
@@ -35,19 +35,32 @@
 					t.Fatalf("%s has %v, want %v", id, table.sums[id], sum)
 				}
 			}
+			prompts := make(map[core.UpstreamID]core.Tokens)
+			for _, report := range table.reports {
+				for id, tokens := range report.prompts {
+					prompts[id] += tokens
+				}
+			}
+			if len(prompts) != len(table.prompts) || len(prompts) > 0 && !reflect.DeepEqual(prompts, table.prompts) {
+				t.Fatalf("prompts of %v tokens are not read, want %v", table.prompts, prompts)
+			}
 		}
 	})
 }
 
 func drawReport(t *rapid.T, now time.Duration) usageReport {
-	report := usageReport{at: now, upstreams: make(map[core.UpstreamID]upstreamUse)}
+	report := usageReport{at: now, upstreams: make(map[core.UpstreamID]upstreamUse), prompts: make(map[core.UpstreamID]core.Tokens)}
 	for range rapid.IntRange(0, 3).Draw(t, "upstreams") {
 		use := make(upstreamUse)
 		for range rapid.IntRange(1, 3).Draw(t, "weights") {
 			key := core.WeightKey{Model: "m", Adapter: core.AdapterID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "adapter")))}
 			use[key] += rapid.IntRange(1, 4).Draw(t, "count")
 		}
-		report.upstreams[core.UpstreamID(fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "upstream")))] = use
+		id := core.UpstreamID(fmt.Sprint("u", rapid.IntRange(0, 2).Draw(t, "upstream")))
+		report.upstreams[id] = use
+		if tokens := rapid.IntRange(0, 3).Draw(t, "tokens"); tokens > 0 {
+			report.prompts[id] = core.Tokens(tokens)
+		}
 	}
 	return report
 }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -64,6 +64,8 @@
 	brittle map[core.ServiceID]statedBrittle
 	// othersAt holds the time of the last report of the requests of other VMs in a zone.
 	othersAt map[core.ZoneID]time.Duration
+	// readingRates holds the rates at which engines read prompts.
+	readingRates readingRates
 	// sendCounts counts the requests sent since the last report to the owner of a zone.
 	sendCounts map[core.ZoneID]map[ServiceKey]int
 	// changedZones holds the zones in which a request has begun or ended since the last
@@ -84,6 +86,7 @@
 		owners:       make(map[core.ZoneID]Owner),
 		brittle:      make(map[core.ServiceID]statedBrittle),
 		othersAt:     make(map[core.ZoneID]time.Duration),
+		readingRates: make(readingRates),
 		sendCounts:   make(map[core.ZoneID]map[ServiceKey]int),
 		changedZones: make(map[core.ZoneID]bool),
 		lastReport:   make(map[core.ZoneID]time.Duration),
@@ -287,6 +290,10 @@
 	Weights core.WeightKey
 	// Exclude lists the upstreams that were already tried.
 	Exclude []core.UpstreamID
+	// Prompt is the size of the prompt, zero if there is none, and Objective the time in which
+	// the first event should arrive.
+	Prompt    core.Tokens
+	Objective time.Duration
 	// Origin states which software the upstream must have.
 	Origin origin.Requirement
 	// Request is the id of the waiting request, for the log.
@@ -308,6 +315,10 @@
 	Cost float64
 	// Weights is the key from the query.
 	Weights core.WeightKey
+	// Reading is the time that the upstream needs for the prompts before that of the request.
+	Reading time.Duration
+	// prompt is the prompt of the request, nil if it states none.
+	prompt *pendingPrompt
 	// Limit is the limit that the upstream has stated.
 	Limit core.RequestLimit
 	// Load is the relative load: the requests that are known there and this one, divided by
@@ -334,7 +345,7 @@
 			continue
 		}
 		found = append(found, known)
-		candidates = append(candidates, table.candidate(now, known))
+		candidates = append(candidates, table.candidate(now, known, query))
 	}
 	at, cost := selection.Choose(candidates, int(table.rotation.Add(1)))
 	if at < 0 {
@@ -348,10 +359,11 @@
 func (table *Table) take(now time.Duration, known *upstream, query Query, candidate selection.Candidate, cost float64) Selection {
 	table.sendBrittle(now, known)
 	table.countSend(known, query)
+	prompt := known.sendPrompt(query)
 	instance := known.instance
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
-		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit,
+		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, prompt: prompt, Reading: candidate.Reading,
 		Load: candidate.Load(), Age: table.reportAge(now, instance.Zone),
 	}
 }
@@ -399,9 +411,10 @@
 }
 
 // candidate returns the upstream as input of the selection. The caller holds the lock.
-func (table *Table) candidate(now time.Duration, known *upstream) selection.Candidate {
+func (table *Table) candidate(now time.Duration, known *upstream, query Query) selection.Candidate {
 	return selection.Candidate{
 		Local: known.instance.Zone == table.zone, Running: known.running, Others: known.otherRunning,
+		Reading: table.reading(known), Objective: query.Objective,
 		Slots: known.instance.Slots, Faults: known.failures.value(now), Silent: known.instance.Silent, Limited: known.stated.limit.Stated && now-known.stated.at < limitRefresh,
 	}
 }
@@ -415,7 +428,7 @@
 	if known == nil || !known.usable() || known.backoffUntil > now || !query.Origin.Allows(known.software()) || table.brittleWait(now, known) > 0 {
 		return Selection{}, false
 	}
-	candidate := table.candidate(now, known)
+	candidate := table.candidate(now, known, query)
 	return table.take(now, known, query, candidate, candidate.Cost()), true
 }
 
@@ -430,8 +443,8 @@
 func (table *Table) Finish(selected Selection) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	known := table.upstreams[selected.Upstream]
-	if known == nil || known.instance.Born != selected.Born || known.running == 0 {
+	known := table.removePrompt(selected)
+	if known == nil || known.running == 0 {
 		return
 	}
 	known.running--
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -19,6 +19,9 @@
 	// running counts the requests in flight from this VM, otherRunning those from other
 	// entry VMs.
 	running, otherRunning int
+	// ownPrompts and otherPrompts are the tokens of the prompts in flight of which no event has
+	// arrived, of requests from this VM and from other entry VMs.
+	ownPrompts, otherPrompts core.Tokens
 	// inFlight counts the requests in flight from this VM by weights.
 	inFlight map[core.WeightKey]int
 	failures failureShare
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -12,6 +12,9 @@
 // The owner drops a report after 2 s.
 const maxUsageInterval = 500 * time.Millisecond
 
+// maxReportedTokens bounds the tokens that another VM reports, so that sums do not overflow.
+const maxReportedTokens = 1 << 40
+
 // collectUsage returns the requests sent to the engines of a zone since the last call and
 // the requests in flight there, and resets the counts. It returns nil if no report is due:
 // the number of reports follows the requests that begin and end, and not the ticks of all
@@ -48,7 +51,7 @@
 // usageMessage returns the requests in flight at the upstream, one list entry for each
 // request with weights.
 func (upstream *upstream) usageMessage(id core.UpstreamID) *wire.UpstreamUse {
-	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running)}
+	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running), PromptTokens: uint64(max(0, upstream.ownPrompts))}
 	for key, count := range upstream.inFlight {
 		for range count {
 			use.Weights = append(use.Weights, &wire.WeightState{Model: string(key.Model), Adapter: string(key.Adapter)})
@@ -65,12 +68,13 @@
 	table.othersAt[zone] = clock.Now()
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.otherRunning, known.unreported = 0, 0
+			known.otherRunning, known.otherPrompts, known.unreported = 0, 0, 0
 		}
 	}
 	for _, use := range result.GetUpstreams() {
 		if known := table.upstreams[core.UpstreamID(use.GetUpstream())]; known != nil {
 			known.otherRunning = int(use.GetRunning())
+			known.otherPrompts = core.Tokens(min(use.GetPromptTokens(), maxReportedTokens))
 		}
 	}
 }
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -39,6 +39,7 @@
 func (call *call) chooseAdmitted(ctx context.Context) (fleet.Selection, string, bool) {
 	turns := &turns{call: call, waits: make(map[core.UpstreamID]time.Duration), query: fleet.Query{
 		Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Origin: call.origin(), Request: call.request.ID,
+		Prompt: call.request.Prompt, Objective: call.route.Objective,
 	}}
 	for range maxAdmissions {
 		selection, reason, ok := call.chooseUpstream(ctx, turns.query, true)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,6 +93,9 @@
 	// waitForLoadCost is the cost from which a request itself waits for another copy: the
 	// requests before it in the engine's queue take longer than a load.
 	waitForLoadCost = 2.5
+	// loadWait is the time that a load takes. A request waits for another copy if the prompts
+	// before its own take longer to read.
+	loadWait = 350 * time.Millisecond
 	// placementWaitDivisor limits the wait for a load to the time until the deadline,
 	// divided by it.
 	placementWaitDivisor = 3
@@ -246,10 +249,10 @@
 func (call *call) chooseUpstream(ctx context.Context, query fleet.Query, turnsFirst bool) (fleet.Selection, string, bool) {
 	table := call.gateway.options.Table
 	selection, ok := table.Select(clock.Now(), query)
-	if ok && (selection.Cost < extraCopyCost || query.Weights.Adapter == "") {
+	if ok && (selection.Cost < extraCopyCost && selection.Reading < loadWait || query.Weights.Adapter == "") {
 		return selection, "", true
 	}
-	if ok && selection.Cost < waitForLoadCost {
+	if ok && selection.Cost < waitForLoadCost && selection.Reading < loadWait {
 		call.gateway.copies.request(query, selection.Upstream)
 		return selection, "", true
 	}
@@ -268,6 +271,9 @@
 	}
 	for range maxPlacements {
 		wait := min(maxPlacementWait, time.Until(call.deadline)/placementWaitDivisor)
+		if ok && selection.Cost < waitForLoadCost {
+			wait = min(wait, selection.Reading)
+		}
 		if wait < minPlacementWait {
 			return selection, "no engine holds the weights", ok
 		}
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -27,6 +27,8 @@
 	Key string
 	// KeyHeaders is the number of headers with a key. A key is accepted only if it is 1.
 	KeyHeaders int
+	// Prompt is the number of tokens of the prompt, zero if the request states none.
+	Prompt core.Tokens
 	// Tokens is the number of tokens that the request states to use, zero if it states none.
 	Tokens core.Tokens
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
@@ -85,6 +86,9 @@
 	if call.events == 0 && count > 0 {
 		attempt.noteBeginning()
 	}
+	if attempt.events == 0 && count > 0 {
+		call.gateway.options.Table.PromptRead(attempt.selection, time.Since(call.sentAt))
+	}
 	call.events += count
 	call.software = attempt.selection.Software
 	if attempt.events < passedEvents && attempt.events+count >= passedEvents {
--- a/pkg/policy/selection/choose.go
+++ b/pkg/policy/selection/choose.go
@@ -1,5 +1,7 @@
 package selection
 
+import "time"
+
 // Candidate is an upstream that can serve a request.
 type Candidate struct {
 	// Local is set for an upstream in the zone of the entry VM.
@@ -13,6 +15,10 @@
 	Faults float64
 	// Silent is set while announcements of the upstream are overdue.
 	Silent bool
+	// Reading is the time that the upstream needs for the prompts that it was sent and has not
+	// read. It reads one after another, so a short prompt waits behind a long one. Objective is
+	// the time in which the first event of the request should arrive, zero if there is none.
+	Reading, Objective time.Duration
 	// Limited is set while the upstream states a limit of requests a second.
 	Limited bool
 }
@@ -47,6 +53,9 @@
 	if candidate.Silent {
 		cost += silentCost
 	}
+	if candidate.Objective > 0 {
+		cost += float64(candidate.Reading) / float64(candidate.Objective)
+	}
 	if candidate.Limited {
 		cost += limitedCost
 	}
