--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -29,7 +29,8 @@
 	KeyHeaders int
 	// Prompt is the number of tokens of the prompt, zero if the request states none.
 	Prompt core.Tokens
-	// Tokens is the number of tokens that the request states to use, zero if it states none.
+	// Tokens is the size of the request, its prompt and its answer, zero if the request does not
+	// state it.
 	Tokens core.Tokens
 }
 
--- a/pkg/policy/selection/reading_test.go
+++ b/pkg/policy/selection/reading_test.go
@@ -46,6 +46,7 @@
 			prompt = 9_000
 		}
 		var candidates []Candidate
+		var bounds []Bound
 		holders := random.Perm(len(engines))[:3]
 		for _, at := range holders {
 			candidate := Candidate{Local: true, Running: engines[at].running(now), Slots: 24}
@@ -54,8 +55,9 @@
 				candidate.Reading, candidate.Objective = rate.Time(pending), modelObjective
 			}
 			candidates = append(candidates, candidate)
+			bounds = append(bounds, candidate.Bound())
 		}
-		chosen, _ := Choose(candidates, random.IntN(3))
+		chosen, _ := Choose(bounds, []Position{0, 1, 2}, random.IntN(3), 0, func(at Position) (float64, bool) { return candidates[at].Cost(), true })
 		engine := &engines[holders[chosen]]
 		alone := engine.readUntil <= now
 		engine.readUntil = max(engine.readUntil, now) + time.Duration(float64(prompt)/modelRate*float64(time.Second))
