--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -65,6 +65,8 @@
 	brittle map[core.ServiceID]statedBrittle
 	// othersAt holds the time of the last report of the requests of other VMs in a zone.
 	othersAt map[core.ZoneID]time.Duration
+	// readingRates holds the rates at which engines read prompts.
+	readingRates readingRates
 	// sendCounts counts the requests sent since the last report to the owner of a zone.
 	sendCounts map[core.ZoneID]map[ServiceKey]int
 	// changedZones holds the zones in which a request has begun or ended since the last
@@ -98,6 +100,7 @@
 		owners:       make(map[core.ZoneID]Owner),
 		brittle:      make(map[core.ServiceID]statedBrittle),
 		othersAt:     make(map[core.ZoneID]time.Duration),
+		readingRates: make(readingRates),
 		sendCounts:   make(map[core.ZoneID]map[ServiceKey]int),
 		changedZones: make(map[core.ZoneID]bool),
 		lastReport:   make(map[core.ZoneID]time.Duration),
@@ -316,6 +319,10 @@
 	Weights core.WeightKey
 	// Exclude lists the upstreams that were already tried.
 	Exclude []core.UpstreamID
+	// Prompt is the size of the prompt, zero if there is none, and Objective the time in which
+	// the first event should arrive.
+	Prompt    core.Tokens
+	Objective time.Duration
 	// Origin states which software the upstream must have.
 	Origin origin.Requirement
 	// Request is the id of the waiting request, for the log.
@@ -339,6 +346,10 @@
 	Cost float64
 	// Weights is the key from the query.
 	Weights core.WeightKey
+	// Reading is the time that the upstream needs for the prompts before that of the request.
+	Reading time.Duration
+	// prompt is the prompt of the request, nil if it states none.
+	prompt *pendingPrompt
 	// Limit is the limit that the upstream has stated.
 	Limit core.RequestLimit
 	// Load is the relative load: the requests that are known there and this one, divided by
@@ -410,10 +421,11 @@
 	candidate := table.candidate(now, known, query)
 	table.sendBrittle(now, known)
 	table.countSend(known, query)
+	prompt := known.sendPrompt(query)
 	instance := &known.instance
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
-		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit,
+		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, prompt: prompt, Reading: candidate.Reading,
 		Load: candidate.Load(), Service: known.service, Age: table.reportAge(now, instance.Zone),
 		unhindered: pace.Unhindered(known.running-1+known.otherRunning, known.instance.Slots),
 	}
@@ -467,6 +479,7 @@
 	candidate.Faults, candidate.Silent = known.failures.value(now), known.instance.Silent
 	candidate.Limited = known.stated.limit.Stated && now-known.stated.at < limitRefresh
 	candidate.Size = relativeSize(query)
+	candidate.Reading, candidate.Objective = table.reading(known), query.Objective
 	return candidate
 }
 
@@ -502,8 +515,8 @@
 func (table *Table) Finish(selected Selection) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
-	known := table.upstreams[selected.Upstream]
-	if known == nil || known.instance.Born != selected.Born || known.running == 0 {
+	known := table.removePrompt(selected)
+	if known == nil || known.running == 0 {
 		return
 	}
 	known.running--
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -14,6 +14,9 @@
 // The owner drops a report after 2 s.
 const maxUsageInterval = 500 * time.Millisecond
 
+// maxReportedTokens bounds the tokens that another VM reports, so that sums do not overflow.
+const maxReportedTokens = 1 << 40
+
 // collectUsage returns the requests sent to the engines of a zone since the last call and
 // the requests in flight there, and resets the counts. It returns nil if no report is due:
 // the number of reports follows the requests that begin and end, and not the ticks of all
@@ -51,7 +54,7 @@
 // usageMessage returns the requests in flight at the upstream, one list entry for each
 // request with weights, and the answers since the last report, which it resets.
 func (upstream *upstream) usageMessage(id core.UpstreamID) *wire.UpstreamUse {
-	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running), Answers: peer.AnswersMessage(upstream.instance.Born, upstream.answers)}
+	use := &wire.UpstreamUse{Upstream: string(id), Running: uint32(upstream.running), PromptTokens: uint64(max(0, upstream.ownPrompts)), Answers: peer.AnswersMessage(upstream.instance.Born, upstream.answers)}
 	upstream.answers = pace.Answers{}
 	for key, count := range upstream.inFlight {
 		for range count {
@@ -71,12 +74,13 @@
 	table.setPace(now, zone, result)
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.otherRunning, known.unreported = 0, 0
+			known.otherRunning, known.otherPrompts, known.unreported = 0, 0, 0
 		}
 	}
 	for _, use := range result.GetUpstreams() {
 		if known := table.upstreams[core.UpstreamID(use.GetUpstream())]; known != nil {
 			known.otherRunning = int(use.GetRunning())
+			known.otherPrompts = core.Tokens(min(use.GetPromptTokens(), maxReportedTokens))
 		}
 	}
 	for _, known := range table.upstreams {
--- a/pkg/policy/selection/choose.go
+++ b/pkg/policy/selection/choose.go
@@ -1,6 +1,9 @@
 package selection
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Candidate is an upstream that can serve a request.
 type Candidate struct {
@@ -15,6 +18,10 @@
 	Faults float64
 	// Silent is set while announcements of the upstream are overdue.
 	Silent bool
+	// Reading is the time that an upstream of median speed needs for the prompts that this one was
+	// sent and has not read. It reads one after another, so a short prompt waits behind a long one. Objective is
+	// the time in which the first event of the request should arrive, zero if there is none.
+	Reading, Objective time.Duration
 	// Limited is set while the upstream states a limit of requests a second.
 	Limited bool
 	// Speed is the speed relative to the median of the service, and Open the share of the
@@ -94,6 +101,9 @@
 	if candidate.Silent {
 		cost += silentCost
 	}
+	if candidate.Objective > 0 {
+		cost += float64(candidate.Reading) / orOne(candidate.Speed) / float64(candidate.Objective)
+	}
 	if candidate.Limited {
 		cost += limitedCost
 	}
