--- a/internal/guard/body.go
+++ b/internal/guard/body.go
@@ -3,7 +3,12 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/dandelionring/dandelionring/internal/h1"
 )
 
 // enoughBody is the number of bytes of a body that a client must send in each interval without
@@ -39,5 +44,8 @@
 	}
 	count, err := body.Reader.Read(buffer)
 	body.fresh += count
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h1.CountOverBound("body", "seconds")
+	}
 	return count, err //nolint:wrapcheck // readers return io.EOF itself
 }
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -107,7 +107,7 @@
 		conn.body.Add(int64(count))
 	case conn.plain && !conn.ended:
 		if status, reason := conn.countHead(buffer[:count]); reason != "" {
-			turnedAway.Inc(conn.class.String(), reason)
+			conn.guard.turnAway(conn.class, reason)
 			_ = conn.SetWriteDeadline(time.Now().Add(refusalTime))
 			_, _ = conn.Conn.Write([]byte(status))
 			return 0, &net.OpError{Op: "read", Err: errRefused}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/pkg/policy/intake"
 )
@@ -36,6 +38,8 @@
 	// clock, and the time in which the process stands still is not the clients'.
 	ticks atomic.Int64
 
+	// refused is the number of clients that were turned away since the last report.
+	refused atomic.Int64
 	// stopping holds for each class whether its connections close after their next response.
 	stopping [intake.Classes]atomic.Bool
 
@@ -52,9 +56,12 @@
 // are dropped.
 const tick = 250 * time.Millisecond
 
-// Watch starts to end the responses whose readers make no progress and returns a function that
-// stops that.
-func (guard *Guard) Watch() func() {
+// reportTicks is the number of ticks between two log lines about clients that were turned away.
+const reportTicks = int64(10 * time.Second / tick)
+
+// Watch starts to end the responses whose readers make no progress, and to log how many clients
+// were turned away. It returns a function that stops that.
+func (guard *Guard) Watch(logger *log.Logger) func() {
 	stop, done := make(chan struct{}), make(chan struct{})
 	ticker := time.NewTicker(tick)
 	go func() {
@@ -62,8 +69,11 @@
 		for {
 			select {
 			case <-ticker.C:
-				guard.ticks.Add(1)
+				now := guard.ticks.Add(1)
 				guard.sweep()
+				if now%reportTicks == 0 {
+					guard.report(logger)
+				}
 			case <-stop:
 				return
 			}
@@ -76,6 +86,22 @@
 	}
 }
 
+// report logs the number of clients that were turned away since the last report, if there are any.
+func (guard *Guard) report(logger *log.Logger) {
+	if count := guard.refused.Swap(0); count > 0 {
+		guard.lock.Lock()
+		open := len(guard.conns)
+		guard.lock.Unlock()
+		logger.Warn("Clients were turned away.", "clients", count, "connections", open, "limit", guard.Limits.WithDefaults().Connections, "head_bytes", guard.heads.Load())
+	}
+}
+
+// turnAway counts a client that is refused or dropped.
+func (guard *Guard) turnAway(class intake.Class, reason string) {
+	turnedAway.Inc(class.String(), reason)
+	guard.refused.Add(1)
+}
+
 // sweep closes the connections whose response was not read for too long.
 func (guard *Guard) sweep() {
 	limit := guard.Limits.WithDefaults().Stall
@@ -88,7 +114,7 @@
 	}
 	guard.lock.Unlock()
 	for _, conn := range stalled {
-		turnedAway.Inc(conn.class.String(), reasonStalled)
+		guard.turnAway(conn.class, reasonStalled)
 		conn.Conn.Close()
 	}
 }
@@ -109,10 +135,10 @@
 	}
 	guard.lock.Unlock()
 	if victim == nil {
-		turnedAway.Inc(conn.class.String(), reasonConnections)
+		guard.turnAway(conn.class, reasonConnections)
 		return false
 	}
-	turnedAway.Inc(victim.class.String(), reasonReplaced)
+	guard.turnAway(victim.class, reasonReplaced)
 	victim.Conn.Close()
 	return true
 }
@@ -236,6 +262,9 @@
 // Listen returns a listener whose connections are counted as those of a class. They speak HTTP
 // without TLS if plain is set, and their heads are counted then.
 func (guard *Guard) Listen(listener net.Listener, class intake.Class, plain bool) net.Listener {
+	guard.lock.Lock()
+	defer guard.lock.Unlock()
+	guard.table.Serve(class)
 	return &guardedListener{listener, guard, class, plain}
 }
 
--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -86,6 +86,7 @@
 			// the limit tells a body that is too long.
 			before, size := cap(content), int(min(max(first, 2*int64(cap(content))), limit+1))
 			if !reservation.grow(int64(size)) {
+				CountOverBound("all bodies", "bytes")
 				return nil, ErrMemory
 			}
 			content = append(make([]byte, 0, size), content...)
--- a/internal/h1/bound.go
+++ b/internal/h1/bound.go
@@ -40,6 +40,9 @@
 	return &BoundError{Part: part, Unit: unit, Limit: limit}
 }
 
+// CountOverBound counts in the metrics what exceeded a bound without being a BoundError.
+func CountOverBound(part, unit string) { overBound.Inc(part, unit) }
+
 // Error returns the part and its bound.
 func (err *BoundError) Error() string {
 	return fmt.Sprintf("the %s of the message has more than %d %s", err.Part, err.Limit, err.Unit)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -95,7 +95,7 @@
 		}
 	}()
 	guard := &guard.Guard{Limits: settings.Clients}
-	defer guard.Watch()()
+	defer guard.Watch(logger)()
 	guard.Register()
 	defer telemetry.Serve(settings.MetricsAddress, guard.ServePlatform, logger)()
 	jobs, closeJobs := pool.New(maxOrdersInFlight, 0)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -88,7 +88,7 @@
 // that a server failed.
 func RunEntry(settings EntrySettings, dialect gateway.Dialect, loggers *logging.LoggerSet, stop <-chan struct{}, reload <-chan struct{}) error {
 	entry := &entry{settings: settings, loggers: loggers, logger: loggers.Logger("entry"), table: fleet.NewTable(settings.Zone), guard: &guard.Guard{Limits: settings.Clients}}
-	defer entry.guard.Watch()()
+	defer entry.guard.Watch(entry.logger)()
 	entry.guard.Register()
 	telemetry.RegisterGauge("dandelionring_routes_number", func() float64 { return float64(entry.table.RoutesNumber()) })
 	defer telemetry.Serve(settings.MetricsAddress, entry.guard.ServePlatform, entry.logger)()
--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -81,8 +81,6 @@
 	}
 	vm := &vm{settings: settings, guard: &guard.Guard{Limits: limits}}
 	defer vm.closers.run()
-	vm.closers.add(vm.guard.Watch())
-	vm.guard.Register()
 	if err := vm.build(); err != nil {
 		return err
 	}
@@ -133,6 +131,8 @@
 		return err
 	}
 	vm.loggers, vm.logger = loggers, loggers.Logger("vm")
+	vm.closers.add(vm.guard.Watch(vm.logger))
+	vm.guard.Register()
 	opened, closeListeners, err := listen(vm.settings)
 	if err != nil {
 		return err
--- a/pkg/policy/intake/script_test.go
+++ b/pkg/policy/intake/script_test.go
@@ -26,6 +26,13 @@
 		}
 		table := &Table{}
 		data.ScanArgs(t, "connections", &table.Limits.Connections)
+		for _, arg := range data.CmdArgs {
+			if arg.Key == "serves" {
+				for _, name := range arg.Vals {
+					table.Serve(names[name])
+				}
+			}
+		}
 		var out strings.Builder
 		var best *Client
 		for line := range strings.Lines(data.Input) {
--- a/pkg/policy/intake/table.go
+++ b/pkg/policy/intake/table.go
@@ -29,7 +29,8 @@
 	return [...]string{"callers", "platform", "peers", "operators", "upstreams"}[class]
 }
 
-// reserveShare is the part of the connections, as 1/n, that is kept for each class but Callers.
+// reserveShare is the part of the connections, as 1/n, that is kept for each class with a port but
+// Callers.
 const reserveShare = 16
 
 // minStalled is the time without progress from which a client may be dropped to make room. A
@@ -51,8 +52,12 @@
 type Table struct {
 	Limits Limits
 	open   [Classes]int
+	served [Classes]bool
 }
 
+// Serve notes that the process has a port for a class. Nothing is kept for the other classes.
+func (table *Table) Serve(class Class) { table.served[class] = true }
+
 // Open returns what to do with a new connection. An accepted one must be reported to Opened.
 func (table *Table) Open(class Class) Verdict {
 	if table.open[class] < table.reserve(class) {
@@ -70,7 +75,7 @@
 
 // reserve returns the number of connections that are kept for a class.
 func (table *Table) reserve(class Class) int {
-	if class == Callers {
+	if class == Callers || !table.served[class] {
 		return 0
 	}
 	return table.Limits.WithDefaults().Connections / reserveShare
