Hold requests on the entry VM while upstreams have no room

Cause: package room decides, but nothing asked it. Change: the gateway asks it before the choice of an upstream. One goroutine decides on the waiting requests, after a report, after the end of a send and at the times that the decisions name. A VM reports on while the upstreams of a plain service have no free slot. A request that may have run, continues a stream or waits for an adapter is not held. Result: the tests of gateway, fleet and layering pass.

--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -23,6 +23,9 @@
 	// running counts the requests in flight from this VM, otherRunning those from other
 	// entry VMs.
 	running, otherRunning int
+	// reportedRunning is the number of requests of other entry VMs that was reported last. It
+	// differs from otherRunning while the plain upstreams of the service are overloaded.
+	reportedRunning int
 	// inFlight counts the requests in flight from this VM by weights.
 	inFlight map[core.WeightKey]int
 	failures failureShare
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -71,17 +71,19 @@
 	table.setPace(now, zone, result)
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.otherRunning, known.unreported = 0, 0
+			known.reportedRunning, known.unreported = 0, 0
 		}
 	}
 	for _, use := range result.GetUpstreams() {
 		if known := table.upstreams[core.UpstreamID(use.GetUpstream())]; known != nil {
-			known.otherRunning = int(use.GetRunning())
+			known.reportedRunning = int(use.GetRunning())
 		}
 	}
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
+			known.otherRunning = known.reportedRunning
 			table.updateBound(known)
 		}
 	}
+	table.noteReport(zone)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -69,6 +69,8 @@
 	// before. sentAt is the time at which that send started.
 	outcome core.Outcome
 	sentAt  time.Time
+	// firstEventAt is the time of the first event of the answer, zero before.
+	firstEventAt time.Time
 	// retryAfter replaces the usual time after which a caller may return, if it is positive.
 	retryAfter time.Duration
 	// failure is an error response of an upstream that is forwarded if no other upstream
@@ -205,6 +207,9 @@
 	if reason := call.cannotContinue(); reason != "" {
 		return tryAnother, reason
 	}
+	if reason := call.awaitRoom(ctx); reason != "" {
+		return tryAnother, reason
+	}
 	selection, reason, ok := call.chooseAdmitted(ctx)
 	if !ok {
 		return tryAnother, reason
@@ -224,6 +229,7 @@
 	next := call.send(ctx, selection, state == reach.Kept && !call.dialAnyway)
 	call.recordEnd(selection, runs)
 	call.gateway.options.Table.Finish(selection)
+	call.gateway.waiting.ended(call)
 	if next == tryAnother && !retry.Allowed(call.route, call.counts) {
 		return tryAnother, "the route allows no further send"
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/internal/h1"
@@ -84,6 +85,7 @@
 		return false
 	}
 	if call.events == 0 && count > 0 {
+		call.firstEventAt = time.Now()
 		attempt.noteBeginning()
 	}
 	call.events += count
