Test and document requests that wait for room

Cause: only the decisions were tested. A service with free slots could need turns since a request waited for one engine of it. Turns are needed only while the service has more requests than slots.

--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -13,6 +13,7 @@
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 	"github.com/dandelionring/dandelionring/pkg/policy/room"
 )
 
@@ -182,9 +183,7 @@
 		if outlook, ok := table.Look(now, fleet.Query{Service: name}); reported && ok {
 			outlooks[name] = outlook
 		}
-		for _, pending := range queries[name] {
-			pending.outlook, pending.known = table.Look(now, pending.query)
-		}
+		lookAll(table, now, queries[name])
 	}
 	waiting.lock.Lock()
 	defer waiting.lock.Unlock()
@@ -214,6 +213,23 @@
 	return next
 }
 
+// lookAll sets the outlooks of waiting requests to one service. Requests that have not been sent and
+// need the same weights have the same one.
+func lookAll(table *fleet.Table, now time.Duration, queries map[room.TicketID]*pendingQuery) {
+	same := make(map[core.WeightKey]*pendingQuery)
+	for _, pending := range queries {
+		plain := len(pending.query.Exclude) == 0 && pending.query.Origin == (origin.Requirement{})
+		if first := same[pending.query.Weights]; plain && first != nil {
+			pending.outlook, pending.known = first.outlook, first.known
+			continue
+		}
+		pending.outlook, pending.known = table.Look(now, pending.query)
+		if plain {
+			same[pending.query.Weights] = pending
+		}
+	}
+}
+
 // pendingQuery is the query of a waiting request and its outlook.
 type pendingQuery struct {
 	query   fleet.Query
@@ -295,7 +311,7 @@
 	}
 	if waiting.waiting >= maxWaiting {
 		service.queue.Remove(ticket.ID)
-		return ticket.ID, room.Decision{Action: room.Refuse, After: retryAfter, Full: true}
+		return ticket.ID, room.Decision{Action: room.Refuse, After: retryAfter + time.Duration(ticket.Spread*float64(retryAfter)), Full: true}
 	}
 	waiting.waiting++
 	roomWaiting.Add(1)
--- /dev/null
+++ b/internal/gateway/room_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/datadriven"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/fleet"
+	"github.com/dandelionring/dandelionring/internal/logging"
+	"github.com/dandelionring/dandelionring/internal/wire"
+	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/retry"
+)
+
+// statedLoad is an owner that states requests of other VMs at an upstream, and the time of an
+// answer.
+type statedLoad struct {
+	lock   sync.Mutex // no other lock is acquired while it is held
+	others uint32
+	answer time.Duration
+}
+
+func (owner *statedLoad) set(others uint32) {
+	owner.lock.Lock()
+	defer owner.lock.Unlock()
+	owner.others = others
+}
+
+func (owner *statedLoad) Call(context.Context, core.VMID, *wire.Request) (*wire.Response, error) {
+	owner.lock.Lock()
+	defer owner.lock.Unlock()
+	return &wire.Response{Body: &wire.Response_UsageResult{UsageResult: &wire.UsageResult{
+		Paced: true, Times: true,
+		Upstreams: []*wire.UpstreamUse{{Upstream: "u0", Running: owner.others, AnswerMicros: uint32(owner.answer.Microseconds())}},
+	}}}, nil
+}
+
+func (owner *statedLoad) Stream(ctx context.Context, _ core.VMID, _ *wire.Request, _ func(*wire.Response) bool) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	for end := time.Now().Add(5 * time.Second); !condition(); {
+		if time.Now().After(end) {
+			t.Fatalf("not in time: %s", what)
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
+
+// TestRoom guards against a request that is sent to an upstream with a long queue although it cannot
+// be answered there in time, one that waits although there is room or its caller or the VM has
+// left, one that is refused although it could be answered, and a refusal without what it was
+// decided on in the log.
+func TestRoom(t *testing.T) {
+	datadriven.RunTest(t, "testdata/room", func(t *testing.T, data *datadriven.TestData) string {
+		others, then, patience, full, unknown := uint32(0), -1, 2000, false, false
+		data.MaybeScanArgs(t, "others", &others)
+		data.MaybeScanArgs(t, "then", &then)
+		data.MaybeScanArgs(t, "patience", &patience)
+		data.MaybeScanArgs(t, "full", &full)
+		data.MaybeScanArgs(t, "unknown", &unknown)
+		upstreams := &scriptedUpstreams{answers: []string{"HTTP/1.1 200 OK\nId: r1\nSigned: x\nContent-Length: 2\n\nok"}}
+		table := upstreams.start(t, 1)
+		table.SetRoutes(core.RouteTable{Number: 1, Routes: []core.Route{{
+			Name: "r", Host: "h.example", Prefix: "/p/", Kind: core.NonIdempotent, Timeout: 5 * time.Second, Objective: 150 * time.Millisecond, Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
+		}}, Services: []core.ServiceSpec{{Service: "s"}}})
+		table.SetOwner("z", fleet.Owner{VM: "owner", Token: 1})
+		owner := &statedLoad{others: others, answer: 30 * time.Millisecond}
+		if unknown {
+			owner.answer = 0
+		}
+		_, stop := fleet.Follow(fleet.Options{VM: "entry", Zone: "z", Table: table, Calls: owner, Logger: log.New(io.Discard)})
+		defer stop()
+		var lines bytes.Buffer
+		loggers, err := logging.NewStructured(&lines, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		gateway, closeGateway := New(Options{Table: table, Dialect: testDialect{}, Repeats: retry.Limits{Ratio: 10, Window: 10 * time.Second}, Logger: loggers.Logger("gateway")})
+		defer closeGateway()
+		server := httptest.NewServer(gateway)
+		defer server.Close()
+		eventually(t, "a report", func() bool {
+			outlook, ok := table.Look(clock.Now(), fleet.Query{Service: "s"})
+			return ok && outlook.Requests == int(others) && outlook.Age < time.Second && (unknown || outlook.Best.Service > 0)
+		})
+		gateway.waiting.lock.Lock()
+		if full {
+			gateway.waiting.waiting = maxWaiting
+		}
+		gateway.waiting.lock.Unlock()
+		before := roomWaiting.Load()
+		waits := func() bool { return roomWaiting.Load() > before }
+		ctx, leave := context.WithCancel(t.Context())
+		defer leave()
+		answered := make(chan string, 1)
+		began := time.Now()
+		go func() { answered <- sendWithin(ctx, server, patience) }()
+		text := ""
+		switch data.Cmd {
+		case "stop":
+			eventually(t, "the request waits", waits)
+			defer gateway.Stop(time.Now().Add(time.Second), time.Now().Add(2*time.Second))()
+		case "leave":
+			eventually(t, "the request waits", waits)
+			leave()
+			eventually(t, "the request has left", func() bool { return !waits() })
+		default:
+			if then >= 0 {
+				eventually(t, "the request waits", waits)
+				owner.set(uint32(then))
+			}
+		}
+		text += <-answered
+		if took := time.Since(began); took < time.Duration(patience)*time.Millisecond/2 {
+			text += "early\n"
+		}
+		text += upstreams.sends()
+		eventually(t, "none waits", func() bool { return !waits() })
+		server.Close()
+		if strings.Contains(lines.String(), "A request finds no room.") {
+			text += "logged: no room\n"
+		}
+		return text
+	})
+}
+
+// sendWithin sends a request whose caller waits for the given number of milliseconds.
+func sendWithin(ctx context.Context, server *httptest.Server, millis int) string {
+	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/p/a", strings.NewReader("body"))
+	request.Host = "h.example"
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Patience", fmt.Sprint(millis))
+	response, err := server.Client().Do(request)
+	if err != nil {
+		return "no answer\n"
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return fmt.Sprintf("%d %q retry=%t\n", response.StatusCode, body, response.Header.Get("Retry-After") != "")
+}
+
+// TestNoWaitAfterRun guards against a refusal, as not run, of a request that may have run.
+func TestNoWaitAfterRun(t *testing.T) {
+	call := &call{route: &core.Route{Kind: core.Idempotent, Objective: time.Second}, counts: retry.SendCounts{Sends: 1, Runs: 1}}
+	if reason := call.awaitRoom(t.Context()); reason != "" {
+		t.Fatalf("refused: %s", reason)
+	}
+}
--- a/pkg/policy/room/decide.go
+++ b/pkg/policy/room/decide.go
@@ -54,8 +54,8 @@
 	Slots, Requests int
 	// VMs is the number of entry VMs.
 	VMs int
-	// Turn is the time until this VM may send the request, of all VMs, while more requests arrive
-	// than the upstreams serve. Crowded is set if it may not even if its time left is just enough.
+	// Turn is the time until this VM has a turn for the request, zero while none is needed. Crowded is
+	// set if it has none even for a request whose time left is just enough.
 	Turn    time.Duration
 	Crowded bool
 	// Waiting is the number of requests that wait on this VM.
--- a/pkg/policy/room/pacer.go
+++ b/pkg/policy/room/pacer.go
@@ -12,7 +12,7 @@
 	// less than twice the delay of the reports, which is up to 160 ms over two VMs, all VMs stop
 	// and start together.
 	correctionTime = 300 * time.Millisecond
-	// raiseTime is the same for a queue that is too short.
+	// raiseTime is the same for a queue that is too short: slots must not become free.
 	raiseTime = 80 * time.Millisecond
 	// growthTime is the time in which the part of each VM grows by its own size while the queue is
 	// empty, and maxGrowth bounds it: with as much, one VM of a thousand uses all.
@@ -20,9 +20,9 @@
 	maxGrowth  = 1000
 	// boostFactor is the growth in each reportInterval while slots are free and requests wait here.
 	boostFactor = 1.5
-	// reservedTokens is the number of turns that must be left after the send of a request, for
+	// reservedTurns is the number of turns that must be left after the send of a request, for
 	// each class that goes before it.
-	reservedTokens = 1
+	reservedTurns = 1
 	// latePart is the part of the turns that is kept for requests that would miss their deadline
 	// otherwise. The rest is for those that can be answered in time.
 	latePart = 0.125
@@ -31,7 +31,7 @@
 	lateClass = 3
 	maxClass  = maxRanks + 2*maxDoublings + lateClass
 	// maxTurns is the number of turns that a VM can save.
-	maxTurns = maxClass * reservedTokens
+	maxTurns = maxClass * reservedTurns
 )
 
 // pacer gives this VM its part of what the upstreams of a service serve while more requests arrive
@@ -68,7 +68,7 @@
 func (pacer *pacer) report(now time.Duration, state State, target, phase float64, waiting bool) {
 	load := float64(state.Requests) / float64(max(1, state.Slots))
 	switch {
-	case !pacer.limited && (load > target || waiting):
+	case !pacer.limited && (load > target || waiting && load > 1):
 		*pacer = pacerAt(now, phase)
 	case !pacer.limited:
 		return
@@ -95,6 +95,7 @@
 	pacer.rate = max(0, rate) / float64(max(1, state.VMs))
 }
 
+// pacerAt returns the state from which turns are needed. The fraction of phase rounds the first ones.
 func pacerAt(now time.Duration, phase float64) pacer {
 	first := phase - math.Floor(phase)
 	return pacer{limited: true, turns: first - 1, last: first, at: now, growth: 1, boost: 1, reportAt: now}
@@ -114,7 +115,7 @@
 		return 0
 	}
 	pacer.refill(now)
-	missing := reservedTokens*float64(class) - pacer.turns
+	missing := reservedTurns*float64(class) - pacer.turns
 	if missing <= 0 {
 		return 0
 	}
