Record the shares of the quotas with the replicated state

Cause: whichever control VM grants the tokens of workspaces must know which part of all rates each entry VM may use without contact. An entry VM that is cut off cannot tell a new granting VM. Change: the command PutQuotaShares of the replicated state keeps the share of each entry VM. It has effect only with the token of the owner of the group "quotas" and the number that it replaces.

--- a/pkg/core/workspace.go
+++ b/pkg/core/workspace.go
@@ -68,3 +68,15 @@
 	Rank  *int
 	Quota Quota
 }
+
+// QuotaShare is an entry VM's share of all rates of tokens, in millionths.
+type QuotaShare uint32
+
+// WholeQuota is the sum of the shares of all entry VMs.
+const WholeQuota QuotaShare = 1_000_000
+
+// Fraction returns the share as a number from 0 to 1.
+func (share QuotaShare) Fraction() float64 { return float64(share) / float64(WholeQuota) }
+
+// QuotaGroup is the group whose owner grants the quotas of all workspaces.
+var QuotaGroup = GroupID{Kind: EngineGroup, Name: "quotas"}
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -20,6 +20,7 @@
 	Crash        *CrashReport      `json:",omitempty"`
 	PutRoutes    *PutRoutes        `json:",omitempty"`
 	NameRevision *AnnounceRevision `json:",omitempty"`
+	QuotaShares  *PutQuotaShares   `json:",omitempty"`
 }
 
 // PutList replaces one of the two configuration lists if Replaces is the current
@@ -229,6 +230,7 @@
 	Crash        *CrashResult            `json:",omitempty"`
 	PutRoutes    *PutRoutesResult        `json:",omitempty"`
 	NameRevision *AnnounceRevisionResult `json:",omitempty"`
+	QuotaShares  *PutQuotaSharesResult   `json:",omitempty"`
 	// Fault says why a command had no effect.
 	Fault string `json:",omitempty"`
 }
--- a/pkg/replica/ledger/script_test.go
+++ b/pkg/replica/ledger/script_test.go
@@ -59,6 +59,16 @@
 		key := core.WeightKey{Model: "m", Adapter: core.AdapterID(stringArg(data, "adapter"))}
 		result := script.apply(data, Command{NameRevision: &AnnounceRevision{Weights: key, Revision: core.Revision(intArg(data, "revision"))}})
 		return fmt.Sprintf("newest=%d", result.NameRevision.Newest)
+	case "quota-owner":
+		group := core.QuotaGroup
+		owner, _ := script.state.Owner(group)
+		return fmt.Sprintf("token=%d", script.apply(data, Command{Assign: &Assign{Group: group, VM: core.VMID(stringArg(data, "vm")), Previous: owner.Token}}).Assign.Ownership.Token)
+	case "quota-shares":
+		shares := map[core.VMID]core.QuotaShare{core.VMID(stringArg(data, "vm")): core.QuotaShare(intArg(data, "share"))}
+		put := &PutQuotaShares{Token: core.FencingToken(intArg(data, "token")), Replaces: uint64(intArg(data, "replaces")), Shares: shares}
+		result := script.apply(data, Command{QuotaShares: put}).QuotaShares
+		_, recorded := script.state.QuotaShares()
+		return fmt.Sprintf("changed=%t number=%d shares=%s", result.Changed, result.Number, marshalJSON(recorded))
 	case "revisions":
 		return marshalJSON(script.state.RevisionsSince(uint64(intArg(data, "since"))))
 	case "restart":
--- a/pkg/replica/ledger/snapshot.go
+++ b/pkg/replica/ledger/snapshot.go
@@ -29,6 +29,7 @@
 	Answers   []claimKey
 	Suspects  []storedSuspect
 	Routes    storedRoutes
+	Quotas    quotaShares
 }
 
 type storedEntry struct {
@@ -75,6 +76,7 @@
 		Plans: state.lists.plans.storedEntries(), Grants: state.lists.grants.storedEntries(),
 		Owners: state.Owners(), Queue: state.claims.expiryQueue, Answers: state.claims.answerQueue,
 		Routes:  state.storeRoutes(),
+		Quotas:  state.quotaShares,
 		Changes: make([]storedChange, 0, len(state.lists.changes)),
 		Keys:    make([]storedClaim, 0, len(state.claims.keys)),
 	}
@@ -154,6 +156,7 @@
 	}
 	state.claims.load(snapshot)
 	state.routes.load(snapshot.Routes)
+	state.quotaShares = snapshot.Quotas
 	return state, nil
 }
 
--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -41,6 +41,7 @@
 	claims          claimTable
 	suspects        map[core.Fingerprint]*suspect
 	routes          routes
+	quotaShares     quotaShares
 }
 
 // New returns an empty state.
@@ -112,6 +113,9 @@
 	case command.NameRevision != nil:
 		result := state.routes.announceRevision(index, *command.NameRevision)
 		return Result{NameRevision: &result}
+	case command.QuotaShares != nil:
+		result := state.applyQuotaShares(index, *command.QuotaShares)
+		return Result{QuotaShares: &result}
 	default:
 		return Result{Fault: "the command is empty"}
 	}
