Grant the tokens of workspaces by one control VM

Change: the group "quotas" is assigned while the route table has a limit. Its owner answers QuotaRequest while it holds a lease, and records the shares of the entry VMs. The messages carry the share, the stamp of the last answer, and tokens that are given back.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -88,6 +88,8 @@
 	origins origins
 	peers   *Peers
 	changed chan struct{}
+	// sharesDue holds one element while shares of the quotas may have to be recorded.
+	sharesDue chan struct{}
 
 	// lock has position 2 in the lock order. It guards the fields below.
 	lock sync.Mutex
@@ -111,6 +113,7 @@
 	judge conviction.Judge
 	// throttles holds the limits of upstreams and grants turns at them.
 	throttles throttle.Table
+	quotas    quotas
 	// recordedRoutes is the number of the last route table that this VM, as the leader,
 	// wrote to the audit log.
 	recordedRoutes core.ConfigNumber
@@ -155,7 +158,7 @@
 func New(options Options, peers *Peers) *Control {
 	silence := silentAfterIntervals * options.AnnounceInterval
 	return &Control{
-		options: options, peers: peers, changed: make(chan struct{}, 1),
+		options: options, peers: peers, changed: make(chan struct{}, 1), sharesDue: make(chan struct{}, 1),
 		members:     membership.NewTable(membership.Timing{Silence: silence, Removal: removalAfter}),
 		known:       membership.NewTable(membership.Timing{Silence: removalAfter, Removal: removalAfter}),
 		published:   make(map[core.UpstreamID]time.Duration),
@@ -181,6 +184,7 @@
 	running.Go(func() { control.assignLoop(ctx) })
 	running.Go(func() { control.watchPeers(ctx) })
 	running.Go(func() { control.orderLoop(ctx) })
+	running.Go(func() { control.shareLoop(ctx) })
 	running.Wait()
 }
 
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -54,6 +54,8 @@
 		return &wire.Response{Body: &wire.Response_DepartureResult{DepartureResult: &wire.DepartureResult{}}}, nil
 	case *wire.Request_Admit:
 		return &wire.Response{Body: &wire.Response_AdmitResult{AdmitResult: control.admit(body.Admit)}}, nil
+	case *wire.Request_QuotaRequest:
+		return &wire.Response{Body: &wire.Response_QuotaResult{QuotaResult: control.grantQuotas(body.QuotaRequest)}}, nil
 	case *wire.Request_OriginQuery:
 		return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: control.answerOriginQuery(ctx, body.OriginQuery)}}, nil
 	case *wire.Request_Audit:
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -142,7 +142,7 @@
 	return result
 }
 
-// assignLoop assigns the engines of each zone to a control VM while this VM leads the
+// assignLoop assigns the engines of each zone and the granting of the quotas to a control VM while this VM leads the
 // replicas, until the context ends.
 func (control *Control) assignLoop(ctx context.Context) {
 	ticker := time.NewTicker(renewInterval)
@@ -180,6 +180,7 @@
 // the time for which this VM has led.
 func (control *Control) assignZones(ctx context.Context, replica *host.Replica, term raft.Term, now, ledFor time.Duration) {
 	statuses := control.peers.statuses(now)
+	control.assignQuotas(ctx, replica, term, now, ledFor, statuses)
 	for _, zone := range control.zones() {
 		group := core.GroupID{Zone: zone, Kind: core.EngineGroup, Name: engineGroupName}
 		var owner ledger.Ownership
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -13,5 +13,8 @@
 	// originCounts counts the questions about the origins of streams, by whether the origin
 	// was found and whether the question waited for it.
 	originCounts = telemetry.NewCounterFamily("dandelionring_origin_queries_total", "found", "waited")
-	placeCounts  = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// quotaRequestCounts counts the requests for tokens of workspaces, by whether this VM grants
+	// them and whether the sender was attached.
+	quotaRequestCounts = telemetry.NewCounterFamily("dandelionring_quota_requests_total", "result", "sender")
+	placeCounts        = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/quota"
 	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
@@ -170,6 +171,7 @@
 	var routes core.RouteTable
 	var owners []ledger.Ownership
 	var revisions []ledger.Revision
+	var shares quota.Shares
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	replica.View(func(state *ledger.State) {
@@ -177,12 +179,18 @@
 		routes, _ = state.Routes()
 		owners = state.Owners()
 		revisions = state.RevisionsSince(control.revisionIndex)
+		shares.Number, shares.Shares = state.QuotaShares()
 	})
 	now := clock.Now()
 	control.setSpecs(now, routes)
+	control.setLimits(now, routes)
 	control.recordApplied(routes, replica.Leader())
 	for _, owner := range owners {
-		control.setOwner(now, owner)
+		if owner.Group == core.QuotaGroup {
+			control.setQuotaOwner(now, owner, shares)
+		} else {
+			control.setOwner(now, owner)
+		}
 	}
 	for _, revision := range revisions {
 		control.revisionIndex = max(control.revisionIndex, revision.Index)
