Take the tokens of each request from the quota of its workspace

Change: the follower leases tokens ahead of the demand, with one request in flight, and falls back to the VM's own share. The gateway takes the tokens once a request, answers 429 with Retry-After at the limit, and gives them back if no upstream was sent the request.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -71,6 +71,7 @@
 	// fetching holds one element while a goroutine fetches the route table.
 	fetching chan struct{}
 	crashes  crashes
+	quotas   quotas
 	// originQueries counts the questions about the origins of streams in flight.
 	originQueries atomic.Int32
 
@@ -96,11 +97,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	follower := &Follower{options: options, ctx: ctx, fetching: make(chan struct{}, 1), watched: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool), admitAfter: make(map[core.VMID]time.Duration)}
 	follower.crashes.bans.VM = options.VM
+	follower.quotas.due = make(chan struct{}, 1)
 	options.Table.setVM(options.VM)
 	for _, seed := range options.Seeds {
 		follower.startWatch(seed)
 	}
 	follower.running.Go(follower.reportLoop)
+	follower.running.Go(follower.quotaLoop)
 	return follower, func() {
 		cancel()
 		follower.running.Wait()
@@ -190,8 +193,8 @@
 	for _, message := range event.GetRevisions() {
 		table.SetRevision(peer.RevisionFromMessage(message))
 	}
-	for _, owner := range event.GetOwners() {
-		table.SetOwner(core.ZoneID(owner.GetGroup().GetZone()), Owner{VM: core.VMID(owner.GetVm()), Token: core.FencingToken(owner.GetFencingToken())})
+	for _, message := range event.GetOwners() {
+		follower.applyOwner(message)
 	}
 	for _, message := range event.GetResidency() {
 		table.SetResidency(peer.ResidencyFromMessage(message))
@@ -212,6 +215,19 @@
 	}
 }
 
+// applyOwner stores the owner of a zone's engines or of the quotas.
+func (follower *Follower) applyOwner(message *wire.Ownership) {
+	owner := Owner{VM: core.VMID(message.GetVm()), Token: core.FencingToken(message.GetFencingToken())}
+	if message.GetGroup().GetName() != core.QuotaGroup.Name || message.GetGroup().GetZone() != "" {
+		follower.options.Table.SetOwner(core.ZoneID(message.GetGroup().GetZone()), owner)
+		return
+	}
+	if follower.options.Table.SetQuotaOwner(owner) {
+		follower.options.Logger.Info("A control VM grants the quotas.", "control", owner.VM, "token", owner.Token)
+		follower.quotas.wake()
+	}
+}
+
 // setControlVMs starts to watch the control VMs in a list that one of them has sent.
 func (follower *Follower) setControlVMs(messages []*wire.ControlVm) {
 	controlVMs := make([]ControlVM, 0, len(messages))
@@ -306,6 +322,7 @@
 		return nil
 	}
 	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "control", vm, "confirmed", first)
+	follower.setLimits(routes)
 	follower.options.Changed(routes)
 	return nil
 }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -56,7 +56,9 @@
 	services  map[core.ServiceID][]*upstream
 	revisions map[core.WeightKey]core.Revision
 	owners    map[core.ZoneID]Owner
-	entryVMs  int
+	// quotaOwner is the control VM that grants the quotas.
+	quotaOwner Owner
+	entryVMs   int
 	// handoverTargets holds the entry VMs that take requests over, by the control VM that
 	// stated them.
 	handoverTargets map[core.VMID][]handover.Target
@@ -203,6 +205,25 @@
 	}
 }
 
+// SetQuotaOwner sets the control VM that grants the quotas; a lower or equal token is ignored. It
+// returns true if the owner changed.
+func (table *Table) SetQuotaOwner(owner Owner) bool {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	if owner.Token <= table.quotaOwner.Token {
+		return false
+	}
+	table.quotaOwner = owner
+	return true
+}
+
+// QuotaOwner returns the control VM that grants the quotas, empty if none is known.
+func (table *Table) QuotaOwner() core.VMID {
+	table.lock.Lock()
+	defer table.lock.Unlock()
+	return table.quotaOwner.VM
+}
+
 // Owners returns the owner of the engines of each zone.
 func (table *Table) Owners() map[core.ZoneID]core.VMID {
 	table.lock.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -67,6 +67,8 @@
 	// before. sentAt is the time at which that send started.
 	outcome core.Outcome
 	sentAt  time.Time
+	// tokens were taken from the quota of the workspace for this request.
+	tokens core.Tokens
 	// retryAfter replaces the usual time after which a caller may return, if it is positive.
 	retryAfter time.Duration
 	// failure is an error response of an upstream that is forwarded if no other upstream
@@ -113,6 +115,7 @@
 	}
 	deadline, ok := call.gateway.stopping.limit(time.Now(), call.start.Add(limit))
 	if !ok {
+		call.returnQuota()
 		call.refuse(http.StatusServiceUnavailable, reasonStopping)
 		return
 	}
@@ -168,6 +171,7 @@
 	if reason == "" {
 		reason = "the deadline passed before an upstream took the request"
 	}
+	call.returnQuota()
 	call.answerFailure(ctx, reason)
 }
 
@@ -326,7 +330,7 @@
 	case call.route == nil:
 		after = retryAfterNoRoutes
 	}
-	if status != http.StatusServiceUnavailable {
+	if status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
 		after = 0
 	}
 	call.log("refused", status, reason)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,6 +55,15 @@
 	ReportLimit(selected fleet.Selection)
 }
 
+// quotas keeps the requests of workspaces within their limits on all VMs together.
+type quotas interface {
+	// Take takes the tokens of a request. If the workspace is at its limit, it returns false and
+	// the time after which the caller is to return.
+	Take(ctx context.Context, workspace *core.Workspace, tokens core.Tokens) (retryAfter time.Duration, ok bool)
+	// Return gives back the tokens of a request that was not sent to any upstream.
+	Return(workspace *core.Workspace, tokens core.Tokens)
+}
+
 // originFinder knows which software versions began the streams of other VMs.
 type originFinder interface {
 	// FindOrigin returns the origin of the stream whose first event the answer to a request
@@ -77,6 +86,8 @@
 	Crashes crashGuard
 	// Limits may be nil; the limits of upstreams are not kept then.
 	Limits admitter
+	// Quotas may be nil; the limits of workspaces are not kept then.
+	Quotas quotas
 	// Origins may be nil; only streams that began on this VM are continued for callers then.
 	Origins originFinder
 	Logger  *log.Logger
@@ -165,6 +176,9 @@
 	}
 	call.traits = conviction.NewRequest(call.fingerprint(), call.request.Parts)
 	call.service = route.SelectTarget(call.route, string(call.request.ID))
+	if !call.takeQuota() {
+		return
+	}
 	call.run()
 }
 
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -98,7 +98,7 @@
 	entry.follower = follower
 	gateway, closeGateway := gateway.New(gateway.Options{
 		Table: entry.table, Placer: follower, Dialect: dialect, Repeats: settings.Repeats,
-		Recorder: records, Crashes: follower, Limits: follower, Origins: follower, Logger: loggers.Logger("gateway"),
+		Recorder: records, Crashes: follower, Limits: follower, Quotas: follower, Origins: follower, Logger: loggers.Logger("gateway"),
 	})
 	defer closeGateway()
 	entry.gateway = gateway
--- a/internal/telemetry/family.go
+++ b/internal/telemetry/family.go
@@ -23,7 +23,10 @@
 }
 
 // Inc increments the counter with the given label values.
-func (family *CounterFamily) Inc(first, second string) {
+func (family *CounterFamily) Inc(first, second string) { family.Add(first, second, 1) }
+
+// Add adds to the counter with the given label values.
+func (family *CounterFamily) Add(first, second string, count int) {
 	key := [2]string{first, second}
 	family.mu.RLock()
 	counter := family.byLabels[key]
@@ -34,5 +37,5 @@
 		family.byLabels[key] = counter
 		family.mu.Unlock()
 	}
-	counter.Inc()
+	counter.Add(count)
 }
