Keep the sum of the shares of the quotas to the whole

Cause: a scripted test showed a grantor that lowered the recorded share of a VM right after it had told that VM of a larger one: the VM's statement was older than the answer. Two VMs then had 1.5 of the rates. A request beyond burst and debt got a Retry-After of 50 ms although it is never served. Change: the share told counts as stated until the VM states another one.

--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -37,8 +37,8 @@
 	// recorded is the recorded share. proposed is the least share that was proposed in its place
 	// since then, and recorded if none was.
 	recorded, proposed core.QuotaShare
-	// stated is the share that the VM has stated last, and current is set if it had received
-	// all answers to it by then.
+	// stated is the larger one of the share that the VM has stated last and of that which it was
+	// told in answer. current is set if the VM had received all answers before.
 	stated  core.QuotaShare
 	current bool
 	// heard is the time of the last request, and answered that of the last answer.
@@ -193,6 +193,7 @@
 		Share:  min(member.recorded, member.proposed, grantor.target(now)),
 		Grants: make([]Grant, 0, len(request.Wants)),
 	}
+	member.stated = max(member.stated, result.Share)
 	for _, want := range request.Wants {
 		result.Grants = append(result.Grants, grantor.grantWant(now, member, want))
 	}
@@ -289,7 +290,11 @@
 	if share := grantor.rateShare(now); share > 0 {
 		rate *= share
 	}
-	lacking := max(1, float64(first)-debt) - bucket.level
+	needed := max(1, float64(first)-debt)
+	if needed > float64(bucket.limit.Burst) {
+		return maxRetryAfter // never, unless the limit changes
+	}
+	lacking := needed - bucket.level
 	return bucket.returns.after(now, timeFor(lacking, rate), float64(refused), rate)
 }
 
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -23,8 +23,8 @@
 	// itself, without a request to the grantor.
 	minHold = 20 * time.Millisecond
 	maxHold = 100 * time.Millisecond
-	// unknownRetry is the time after which a caller returns whose request needs more tokens than
-	// the own bucket can hold: by then the VM is likely to be in contact again.
+	// unknownRetry is the time after which a caller returns whose request the own bucket will not
+	// serve: by then the VM is likely to be in contact again.
 	unknownRetry = time.Second
 )
 
@@ -243,7 +243,7 @@
 		return 0, true
 	}
 	rate := float64(held.limit.Rate) * lease.share.Fraction()
-	if rate <= 0 || rest > lease.ownLimit(held.limit) {
+	if rate <= 0 || rest > lease.ownLimit(held.limit) || now >= lease.received+ownShareTime {
 		return held.returns.after(now, unknownRetry, float64(tokens), float64(held.limit.Rate)), false
 	}
 	return held.returns.after(now, timeFor(rest-held.own, rate), float64(tokens), rate), false
