Halve the bytes of the quotas

Cause: a computation with the real messages (70 VMs, 14.7 requests a second each, 16 workspaces) gave 680 messages and 362 kB a second, since each request for tokens exchanged the tokens of all workspaces used lately. Change: tokens are exchanged only from an age of 300 ms on or when they run out, they are held ahead only for workspaces with a request a second and VM, and the stamp of returned tokens is without the fencing token.

--- a/internal/peer/quota.go
+++ b/internal/peer/quota.go
@@ -18,7 +18,7 @@
 	for _, want := range request.Wants {
 		message.Wants = append(message.Wants, &wire.QuotaWant{
 			Workspace: string(want.Workspace), MinTokens: uint64(want.Min), WaitingTokens: uint64(want.Waiting), WantedTokens: uint64(want.Ahead),
-			ReserveTokens: uint64(want.Reserve), ReturnedTokens: uint64(want.Returned), ReturnedStamp: quotaStampMessage(want.ReturnedStamp),
+			ReserveTokens: uint64(want.Reserve), ReturnedTokens: uint64(want.Returned), ReturnedStampNanos: uint64(want.ReturnedFrom),
 		})
 	}
 	return message
@@ -33,7 +33,7 @@
 	for _, want := range message.GetWants() {
 		request.Wants = append(request.Wants, quota.Want{
 			Workspace: core.WorkspaceID(want.GetWorkspace()), Min: tokens(want.GetMinTokens()), Waiting: tokens(max(want.GetMinTokens(), want.GetWaitingTokens())), Ahead: tokens(want.GetWantedTokens()),
-			Reserve: tokens(want.GetReserveTokens()), Returned: tokens(want.GetReturnedTokens()), ReturnedStamp: quotaStampFromMessage(want.GetReturnedStamp()),
+			Reserve: tokens(want.GetReserveTokens()), Returned: tokens(want.GetReturnedTokens()), ReturnedFrom: time.Duration(min(want.GetReturnedStampNanos(), 1<<62)),
 		})
 	}
 	return request
--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -195,6 +195,9 @@
 	}
 	member.stated = max(member.stated, result.Share)
 	for _, want := range request.Wants {
+		if request.Answered.Token != grantor.token {
+			want.Returned = 0 // another grantor has granted these tokens
+		}
 		result.Grants = append(result.Grants, grantor.grantWant(now, member, want))
 	}
 	for workspace, loan := range member.lent {
@@ -237,7 +240,7 @@
 		return grant
 	}
 	bucket.fill(grantor.flow)
-	if loan := member.lent[want.Workspace]; want.Returned > 0 && want.ReturnedStamp == (Stamp{Token: grantor.token, At: loan.at}) && now-loan.at <= leaseTime {
+	if loan := member.lent[want.Workspace]; want.Returned > 0 && want.ReturnedFrom == loan.at && now-loan.at <= leaseTime {
 		bucket.level = min(float64(bucket.limit.Burst), bucket.level+float64(min(want.Returned, loan.tokens)))
 		delete(member.lent, want.Workspace)
 	}
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -17,6 +17,12 @@
 	idleTime   = 2 * time.Second
 	// sizeWeight is the weight of one request in the average size of requests.
 	sizeWeight = 0.125
+	// frequent is the number of requests in demandTime from which tokens are held for the next one.
+	// Below, to hold them costs more bytes than to ask for each request.
+	frequent = 1
+	// renewAge is the age from which granted tokens are exchanged for new ones with a request that
+	// is sent for others. It is below KeepAlive, at which they are in any case.
+	renewAge = 300 * time.Millisecond
 	// minAheadInterval is the least time between two requests that are sent in advance only.
 	minAheadInterval = 100 * time.Millisecond
 	// minHold and maxHold bound the time after a refusal in which this VM refuses further requests
@@ -188,15 +194,14 @@
 	return held.rate * math.Exp(-(now-held.used).Seconds()/demandTime.Seconds())
 }
 
-// ahead returns the tokens to hold for the demand until the next request: those of aheadTime, and
-// one request of average size if the workspace has one every second or two.
+// ahead returns the tokens to hold for the demand until the next request: those of aheadTime and one
+// request of average size, if requests of the workspace are frequent.
 func (held *holding) ahead(now time.Duration) core.Tokens {
 	demand := held.demand(now)
-	ahead := demand * aheadTime.Seconds()
-	if demand*demandTime.Seconds() >= held.size/2 {
-		ahead += held.size
+	if demand*demandTime.Seconds() < frequent*held.size {
+		return 0
 	}
-	return core.Tokens(math.Ceil(ahead))
+	return core.Tokens(math.Ceil(demand*aheadTime.Seconds() + held.size))
 }
 
 // Take takes the tokens of a request from those that were granted. With Refused it also returns
@@ -284,8 +289,12 @@
 // for half of aheadTime.
 func (lease *Lease) Low(now time.Duration, workspace core.WorkspaceID) bool {
 	held := lease.holdings[workspace]
-	return held != nil && now-lease.asked >= minAheadInterval && now >= held.refusedUntil &&
-		float64(held.valid(now)) < held.demand(now)*aheadTime.Seconds()/2
+	return held != nil && now-lease.asked >= minAheadInterval && now >= held.refusedUntil && lease.low(now, held)
+}
+
+func (lease *Lease) low(now time.Duration, held *holding) bool {
+	demand := held.demand(now)
+	return demand*demandTime.Seconds() >= frequent*held.size && float64(held.valid(now)) < demand*aheadTime.Seconds()/2
 }
 
 // Request returns the request to the grantor. The tokens that it gives back are no longer held.
@@ -309,11 +318,11 @@
 		if slices.ContainsFunc(waiting, func(demand Waiting) bool { return demand.Workspace.Workspace == held.workspace }) {
 			continue
 		}
-		// Tokens that were granted a moment ago are not requested once more.
-		if held.valid(now) > 0 && now-held.asked < minAheadInterval || now < held.refusedUntil {
+		// What was requested a moment ago is requested once more only if it is used up.
+		if now-held.asked < renewAge && !lease.low(now, held) || now < held.refusedUntil {
 			continue
 		}
-		if want := lease.want(now, held); want.Returned > 0 || want.Ahead > 0 || want.Reserve > 0 {
+		if want := lease.want(now, held); want.Returned > 0 || want.Ahead > 0 {
 			request.Wants = append(request.Wants, want)
 		}
 	}
@@ -326,14 +335,12 @@
 // lost for the workspace.
 func (lease *Lease) want(now time.Duration, held *holding) Want {
 	want := Want{Workspace: held.workspace, Ahead: held.ahead(now)}
-	if tokens := held.valid(now); tokens > 0 {
-		want.Returned, want.ReturnedStamp = tokens, held.stamp
-	}
-	held.tokens, held.taken = 0, 0
-	if want.Ahead > 0 {
-		lease.fillOwn(held)
-		want.Reserve = core.Tokens(lease.ownLimit(held.limit) - held.own)
+	if tokens := held.valid(now); tokens > 0 && held.stamp.Token == lease.answered.Token {
+		want.Returned, want.ReturnedFrom = tokens, held.stamp.At
 	}
+	held.tokens, held.taken, held.asked = 0, 0, now
+	lease.fillOwn(held)
+	want.Reserve = core.Tokens(lease.ownLimit(held.limit) - held.own)
 	return want
 }
 
--- a/pkg/policy/quota/message.go
+++ b/pkg/policy/quota/message.go
@@ -29,10 +29,10 @@
 	// requests that wait. Ahead is the likely demand until the next Request. Reserve is what the
 	// VM's own bucket lacks.
 	Min, Waiting, Ahead, Reserve core.Tokens
-	// Returned is the number of unused tokens of the answer with the stamp ReturnedStamp, which
-	// the VM no longer holds.
-	Returned      core.Tokens
-	ReturnedStamp Stamp
+	// Returned is the number of unused tokens, which the VM no longer holds, of an answer of the
+	// time ReturnedFrom. The token of its stamp is that of Request.Answered.
+	Returned     core.Tokens
+	ReturnedFrom time.Duration
 }
 
 // Result is the answer to a Request.
