--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -302,7 +302,7 @@
 	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
 	defer cancel()
 	first := follower.options.Table.RoutesNumber() == 0
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first}}}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first, Features: peer.FeatureMessages(core.SupportedFeatures())}}}
 	response, err := follower.options.Calls.Call(ctx, vm, request)
 	if err != nil {
 		return errors.Wrap(err, "fetch routes")
@@ -321,7 +321,7 @@
 	if !follower.options.Table.SetRoutes(routes) {
 		return nil
 	}
-	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "control", vm, "confirmed", first)
+	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "workspaces", len(routes.Workspaces), "control", vm, "confirmed", first)
 	follower.setLimits(routes)
 	follower.options.Changed(routes)
 	return nil
