Check the quota of the gateway with keys

Cause: the test set the workspace of a request by hand, before keys were checked. Change: the test sends the key of a workspace, or hands a request over with its name.

--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -48,8 +48,11 @@
 		}
 		table := upstreams.start(t, count)
 		table.SetRoutes(core.RouteTable{Number: 1, Routes: []core.Route{{
-			Name: "r", Host: "host", Prefix: "/", Kind: core.Idempotent, MaxAttempts: 3, Timeout: 2 * time.Second, Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
-		}}, Services: []core.ServiceSpec{{Service: "s"}}})
+			Name: "r", Host: "host", Prefix: "/", Kind: core.Idempotent, Public: data.HasArg("public"), MaxAttempts: 3, Timeout: 2 * time.Second,
+			Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
+		}}, Services: []core.ServiceSpec{{Service: "s"}}, Workspaces: []core.Workspace{{
+			Workspace: "w", Keys: []core.KeyDigest{core.DigestKey("k")}, Quota: core.Quota{Rate: 1, PlainTokens: 30},
+		}}})
 		table.SetEntryVMs(1)
 		counted := &countedQuotas{}
 		if data.HasArg("full") {
@@ -61,9 +64,12 @@
 		incoming := httptest.NewRequest(http.MethodGet, "http://host/", nil)
 		incoming.Header.Set("Id", "r1")
 		incoming.Header.Set("Patience", "500")
-		call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now(), takenOver: data.HasArg("taken-over")}
-		if !data.HasArg("public") {
-			call.workspace = &core.Workspace{Workspace: "w", Quota: core.Quota{Rate: 1, PlainTokens: 30}}
+		call := &call{gateway: gateway, writer: writer, incoming: incoming, start: time.Now()}
+		switch {
+		case data.HasArg("taken-over"):
+			call.takenOver, call.handedWorkspace = true, "w"
+		case !data.HasArg("public"):
+			incoming.Header.Set("Key", "k")
 		}
 		call.serve()
 		out := fmt.Sprintf("status=%d retry-after=%s sends=%d\n", writer.Code, writer.Header().Get("Retry-After"), len(upstreams.received))
