Serve workspaces whose burst is below one request

Cause: a bucket with a burst of zero never has tokens, and in the first 9 s of a granting VM a request above the burst was refused. Change: a bucket holds 50 ms of its rate at least, and a new grantor leaves a debt of up to 2,000 tokens; the own buckets hold 50 ms less of the rate for it. TestAllowance checks the sum against the bound.

--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -219,3 +219,43 @@
 	is.Equal(table.QuotaOwner(), core.VMID("c"))
 	is.Equal(table.Owners(), map[core.ZoneID]core.VMID{"z": "d"})
 }
+
+// BenchmarkTake is the decision on a request whose tokens are held, with its metrics: the check of
+// the key and this together take at most 1 us.
+func BenchmarkTake(b *testing.B) {
+	workspaces := make([]core.Workspace, 16)
+	for i := range workspaces {
+		workspaces[i] = core.Workspace{Workspace: core.WorkspaceID(fmt.Sprint("workspace-", i)), Quota: core.Quota{Rate: 1e9, Burst: 1e15}}
+	}
+	var quotas quotas
+	now := clock.Now()
+	grantor := quota.NewGrantor(now-time.Minute, 1, quota.Shares{Number: 1, Shares: map[core.VMID]core.QuotaShare{"entry": core.WholeQuota}})
+	grantor.SetLimits(now-time.Minute, workspaces)
+	exchange := func(now time.Duration, waiting []quota.Waiting) {
+		request := quotas.lease.Request(now, "entry", waiting)
+		quotas.lease.Answer(now, now, request, grantor.Grant(now, request))
+	}
+	for i := range 10 {
+		exchange(now+time.Duration(i-10)*quota.KeepAlive, nil)
+	}
+	follower := &Follower{options: Options{Table: NewTable("z"), Logger: log.New(io.Discard)}}
+	b.ReportAllocs()
+	at := 0
+	for b.Loop() {
+		if at%10_000 == 0 { // the tokens are valid for 500 ms
+			b.StopTimer()
+			now := clock.Now()
+			var waiting []quota.Waiting
+			for i := range workspaces {
+				waiting = append(waiting, quota.Waiting{Workspace: &workspaces[i], First: 30_000, Total: 30_000})
+			}
+			exchange(now, waiting)
+			follower.quotas.lease, follower.quotas.limited = quotas.lease, true
+			b.StartTimer()
+		}
+		if _, ok := follower.Take(context.Background(), &workspaces[at%16], 1); !ok {
+			b.Fatal("a request was refused")
+		}
+		at++
+	}
+}
--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -105,7 +105,7 @@
 		}
 		known.fill(grantor.flow)
 		known.limit = workspace.Quota
-		known.level = min(known.level, float64(known.limit.Burst))
+		known.level = min(known.level, capacity(known.limit))
 		next[workspace.Workspace] = known
 	}
 	grantor.buckets = next
@@ -174,7 +174,7 @@
 
 // fill adds the tokens since the last call.
 func (bucket *bucket) fill(flow float64) {
-	bucket.level = min(float64(bucket.limit.Burst), bucket.level+float64(bucket.limit.Rate)*(flow-bucket.flow))
+	bucket.level = min(capacity(bucket.limit), bucket.level+float64(bucket.limit.Rate)*(flow-bucket.flow))
 	bucket.flow = flow
 }
 
@@ -222,8 +222,8 @@
 
 // debt returns how far a grant may take a bucket below zero.
 func (grantor *Grantor) debt(now time.Duration) float64 {
-	if now-grantor.started < debtFreeTime {
-		return 0
+	if now-grantor.started < earlyDebtTime {
+		return float64(earlyDebt)
 	}
 	return float64(maxDebt)
 }
@@ -241,7 +241,7 @@
 	}
 	bucket.fill(grantor.flow)
 	if loan := member.lent[want.Workspace]; want.Returned > 0 && want.ReturnedFrom == loan.at && now-loan.at <= leaseTime {
-		bucket.level = min(float64(bucket.limit.Burst), bucket.level+float64(min(want.Returned, loan.tokens)))
+		bucket.level = min(capacity(bucket.limit), bucket.level+float64(min(want.Returned, loan.tokens)))
 		delete(member.lent, want.Workspace)
 	}
 	debt := grantor.debt(now)
@@ -279,7 +279,7 @@
 	if taken < want.Waiting {
 		return taken, servesFirst
 	}
-	burst := float64(bucket.limit.Burst)
+	burst := capacity(bucket.limit)
 	take(want.Ahead, aheadLevel*burst)
 	if taken == want.Waiting+want.Ahead {
 		take(want.Reserve, reserveLevel*burst)
@@ -294,7 +294,7 @@
 		rate *= share
 	}
 	needed := max(1, float64(first)-debt)
-	if needed > float64(bucket.limit.Burst) {
+	if needed > capacity(bucket.limit) {
 		return maxRetryAfter // never, unless the limit changes
 	}
 	lacking := needed - bucket.level
--- a/pkg/policy/quota/limits.go
+++ b/pkg/policy/quota/limits.go
@@ -9,9 +9,10 @@
 
 // The requests of a workspace in any 8 s may exceed 1.1 times (rate x 8 s + burst) by 110,000
 // tokens. The constants below use that allowance: leases carry at most 0.5 s of the rate into the
-// 8 s, the grantor's debt is at most maxDebt, and the own buckets of all VMs hold at most
-// ownCapacity. Their sum, 8.7 s of the rate + 1.1 bursts + 98,000 tokens, leaves 0.1 s of the rate and
-// 12,000 tokens for the drift between clocks.
+// 8 s, the grantor's debt is at most maxDebt, up to five new grantors in 8 s leave an earlyDebt each,
+// and the own buckets of all VMs hold at most ownCapacity. A bucket holds minBurstTime of the rate at
+// least. Their sum, 8.7 s of the rate + 1.1 bursts + 108,000 tokens, leaves 0.1 s of the rate and
+// 2,000 tokens for the drift between clocks.
 const (
 	// leaseTime is the time from the sending of a request for which granted tokens may be used.
 	// Tokens that were granted within that time may also be given back.
@@ -19,15 +20,19 @@
 	// maxDebt is how far a grant may take a bucket below zero. It admits the largest usual
 	// requests, of 40,000 tokens, to a workspace with a small burst.
 	maxDebt core.Tokens = 40_000
-	// debtFreeTime is the time for which a new grantor grants no debt. The grantor before it may
-	// have granted maxDebt just before it ended, and only one such debt fits into 8 s.
-	debtFreeTime = 9 * time.Second
+	// earlyDebtTime is the time for which a new grantor grants no more than earlyDebt. The grantor
+	// before it may have granted maxDebt just before it ended, and only one such debt fits into 8 s.
+	// A new grantor begins at least 1.5 s after the last grant of the one before.
+	earlyDebtTime             = 9 * time.Second
+	earlyDebt     core.Tokens = 2_000
+	// minBurstTime is the time whose tokens a bucket holds at least, also with a burst of zero.
+	minBurstTime = 50 * time.Millisecond
 
 	// ownBurstShare, ownRateTime and maxOwnTokens define the capacity of the own buckets of all VMs
 	// together: parts of the burst, seconds of the rate, and a number of tokens that is at most
 	// ownMaxRateTime of the rate.
 	ownBurstShare              = 0.1
-	ownRateTime                = 200 * time.Millisecond
+	ownRateTime                = 150 * time.Millisecond
 	ownMaxRateTime             = 2 * time.Second
 	maxOwnTokens   core.Tokens = 58_000
 )
@@ -58,6 +63,11 @@
 	maxRetryAfter = 10 * time.Second
 )
 
+// capacity returns the capacity of the grantor's bucket of a workspace.
+func capacity(quota core.Quota) float64 {
+	return max(1, float64(quota.Burst), minBurstTime.Seconds()*float64(quota.Rate))
+}
+
 // ownCapacity returns the capacity of the own buckets of all VMs together.
 func ownCapacity(quota core.Quota) float64 {
 	rate := float64(quota.Rate)
