--- a/internal/control/quota.go
+++ b/internal/control/quota.go
@@ -67,7 +67,7 @@
 	case quotas.token == owner.Token:
 		quotas.grantor.SetShares(now, shares)
 	default:
-		quotas.grantor, quotas.token, quotas.grantsFrom = quota.NewGrantor(now, owner.Token, shares), owner.Token, now
+		quotas.grantor, quotas.token, quotas.grantsFrom = quota.NewGrantor(now, owner.Token, shares, !control.stateLoaded), owner.Token, now
 		if owner.Live {
 			quotas.grantsFrom += leaseTime + leaseMargin
 		}
--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -34,7 +34,7 @@
 }
 
 func newQuotaControl(workspaces []core.Workspace) *quotaControl {
-	control := &quotaControl{grantor: quota.NewGrantor(clock.Now(), 1, quota.Shares{})}
+	control := &quotaControl{grantor: quota.NewGrantor(clock.Now(), 1, quota.Shares{}, false)}
 	control.grantor.SetLimits(clock.Now(), workspaces)
 	return control
 }
@@ -229,7 +229,7 @@
 	}
 	var quotas quotas
 	now := clock.Now()
-	grantor := quota.NewGrantor(now-time.Minute, 1, quota.Shares{Number: 1, Shares: map[core.VMID]core.QuotaShare{"entry": core.WholeQuota}})
+	grantor := quota.NewGrantor(now-time.Minute, 1, quota.Shares{Number: 1, Shares: map[core.VMID]core.QuotaShare{"entry": core.WholeQuota}}, false)
 	grantor.SetLimits(now-time.Minute, workspaces)
 	exchange := func(now time.Duration, waiting []quota.Waiting) {
 		request := quotas.lease.Request(now, "entry", waiting)
--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -69,8 +69,10 @@
 type Grantor struct {
 	token   core.FencingToken
 	started time.Duration
-	number  uint64
-	members map[core.VMID]*member
+	// earlyDebt is the debt that may be left in earlyDebtTime.
+	earlyDebt core.Tokens
+	number    uint64
+	members   map[core.VMID]*member
 	// order holds the members once more, since the flow looks at all of them.
 	order   []*member
 	buckets map[core.WorkspaceID]*bucket
@@ -80,12 +82,17 @@
 }
 
 // NewGrantor returns a grantor whose ownership has the given token. Its buckets are empty: the one
-// before may have granted all tokens just before it ended. shares are the recorded shares.
-func NewGrantor(now time.Duration, token core.FencingToken, shares Shares) *Grantor {
+// before may have granted all tokens just before it ended. shares are the recorded shares. resumed is
+// set if this process was started while its VM had the token already: such starts may follow each
+// other quickly, so it leaves no debt at first.
+func NewGrantor(now time.Duration, token core.FencingToken, shares Shares, resumed bool) *Grantor {
 	grantor := &Grantor{
 		token: token, started: now, flowAt: now,
 		members: make(map[core.VMID]*member), buckets: make(map[core.WorkspaceID]*bucket),
 	}
+	if !resumed {
+		grantor.earlyDebt = earlyDebt
+	}
 	grantor.SetShares(now, shares)
 	return grantor
 }
@@ -223,7 +230,7 @@
 // debt returns how far a grant may take a bucket below zero.
 func (grantor *Grantor) debt(now time.Duration) float64 {
 	if now-grantor.started < earlyDebtTime {
-		return float64(earlyDebt)
+		return float64(grantor.earlyDebt)
 	}
 	return float64(maxDebt)
 }
--- a/pkg/policy/quota/model_test.go
+++ b/pkg/policy/quota/model_test.go
@@ -202,8 +202,9 @@
 // hold makes a control VM the grantor, or extends its lease.
 func (model *model) hold(vm *modelVM) {
 	if vm.grantor == nil || vm.token != model.token {
+		resumed := vm.token == model.token
 		vm.token = model.token
-		vm.grantor = NewGrantor(model.now, model.token, model.shares)
+		vm.grantor = NewGrantor(model.now, model.token, model.shares, resumed)
 		vm.grantor.SetLimits(model.now, []core.Workspace{vm.workspace})
 	}
 	vm.leaseEnd = model.now + modelLease
--- a/pkg/policy/quota/quota_bench_test.go
+++ b/pkg/policy/quota/quota_bench_test.go
@@ -20,7 +20,7 @@
 // attachedLease returns a grantor, and a lease of its only VM, whose share it counts.
 func attachedLease(workspaces []core.Workspace) (*Grantor, *Lease, time.Duration) {
 	now := time.Hour
-	grantor := NewGrantor(now, 1, Shares{Number: 1, Shares: map[core.VMID]core.QuotaShare{"vm": core.WholeQuota}})
+	grantor := NewGrantor(now, 1, Shares{Number: 1, Shares: map[core.VMID]core.QuotaShare{"vm": core.WholeQuota}}, false)
 	grantor.SetLimits(now, workspaces)
 	lease := &Lease{}
 	for range 4 {
@@ -68,7 +68,7 @@
 					shares.Shares[core.VMID(fmt.Sprint("vm-", i))] = core.WholeQuota / core.QuotaShare(vms)
 				}
 				now := time.Hour
-				grantor := NewGrantor(now, 1, shares)
+				grantor := NewGrantor(now, 1, shares, false)
 				grantor.SetLimits(now, workspaces)
 				requests := make([]Request, vms)
 				for i := range requests {
--- a/pkg/policy/quota/script_test.go
+++ b/pkg/policy/quota/script_test.go
@@ -57,7 +57,7 @@
 			script.grantor.SetLimits(now, []core.Workspace{script.workspace})
 		}
 	case "grantor":
-		script.grantor = NewGrantor(now, core.FencingToken(number("token")), script.shares)
+		script.grantor = NewGrantor(now, core.FencingToken(number("token")), script.shares, data.HasArg("resumed"))
 		script.grantor.SetLimits(now, []core.Workspace{script.workspace})
 	case "record":
 		script.record(now)
