--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -390,15 +389,3 @@
 	}
 	return attached, known
 }
-
-// Recorded returns the recorded shares, sorted by VM, for tests and logs.
-func (grantor *Grantor) Recorded() []core.VMID {
-	var vms []core.VMID
-	for _, member := range grantor.order {
-		if member.recorded > 0 {
-			vms = append(vms, member.vm)
-		}
-	}
-	slices.SortFunc(vms, cmp.Compare)
-	return vms
-}
