--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -20,7 +20,10 @@
 	// the median, and the share of their slots that may be used regardless of other upstreams.
 	speedGauges = telemetry.NewGaugeFamily("dandelionring_upstream_speed", "upstream", maxPaceGauges)
 	openGauges  = telemetry.NewGaugeFamily("dandelionring_upstream_open", "upstream", maxPaceGauges)
-	placeCounts = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// quotaRequestCounts counts the requests for tokens of workspaces, by whether this VM grants
+	// them and whether the sender was attached.
+	quotaRequestCounts = telemetry.NewCounterFamily("dandelionring_quota_requests_total", "result", "sender")
+	placeCounts        = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
 
 // maxPaceGauges is the number of upstreams that have gauges of their own.
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -20,6 +20,7 @@
 	Crash        *CrashReport      `json:",omitempty"`
 	PutRoutes    *PutRoutes        `json:",omitempty"`
 	NameRevision *AnnounceRevision `json:",omitempty"`
+	QuotaShares  *PutQuotaShares   `json:",omitempty"`
 	// KeyedRoutes is the encoded form of a PutRoutes whose table has workspaces. A build that
 	// ignores workspaces must not apply the table without them; to it, the command is empty.
 	KeyedRoutes *PutRoutes `json:",omitempty"`
@@ -232,6 +233,7 @@
 	Crash        *CrashResult            `json:",omitempty"`
 	PutRoutes    *PutRoutesResult        `json:",omitempty"`
 	NameRevision *AnnounceRevisionResult `json:",omitempty"`
+	QuotaShares  *PutQuotaSharesResult   `json:",omitempty"`
 	// Fault says why a command had no effect.
 	Fault string `json:",omitempty"`
 }
