--- a/internal/fleet/brittle.go
+++ b/internal/fleet/brittle.go
@@ -43,7 +43,7 @@
 		table.changedZones[zone] = true
 	}
 	return brittle.Load{
-		Own: known.running, Others: known.reportedRunning, Stale: stale,
+		Own: known.running, Others: known.otherRunning, Stale: stale,
 		Unreported: known.unreported, Slots: known.instance.Slots, VMs: max(1, table.entryVMs), Limit: stated.limit.Rate, Phase: table.phase(known.instance.Upstream),
 	}, true
 }
--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -1,9 +1,7 @@
 package fleet
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -153,8 +151,7 @@
 	for _, median := range usage.GetMedians() {
 		fmt.Fprintf(&out, "median %s answer=%d pause=%d\n", median.GetService(), median.GetAnswerMicros(), median.GetPauseMicros())
 	}
-	upstreams := slices.SortedFunc(slices.Values(usage.GetUpstreams()), func(a, b *wire.UpstreamUse) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
-	for _, use := range upstreams {
+	for _, use := range usage.GetUpstreams() {
 		answers := use.GetAnswers()
 		fmt.Fprintf(&out, "%s running=%d count=%d/%d untimed=%d pauses=%d/%d rejections=%d failures=%d\n", use.GetUpstream(), use.GetRunning(),
 			answers.GetCount(), answers.GetTotalMicros(), answers.GetUntimed(), answers.GetPauses(), answers.GetPauseMicros(), answers.GetRejections(), answers.GetFailures())
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -75,10 +75,6 @@
 	// report, and lastReport the time of that report.
 	changedZones map[core.ZoneID]bool
 	lastReport   map[core.ZoneID]time.Duration
-	// reported has an element after a report of other VMs' requests.
-	reported chan struct{}
-	// evenings counts the times at which reports were evened out.
-	evenings int
 	// paces compares the upstreams of each service, and timesAskedAt holds the times at which
 	// reports asked the owners for the times of their upstreams.
 	paces               map[core.ServiceID]*servicePace
@@ -110,7 +106,6 @@
 		sendCounts:   make(map[core.ZoneID]map[ServiceKey]int),
 		changedZones: make(map[core.ZoneID]bool),
 		lastReport:   make(map[core.ZoneID]time.Duration),
-		reported:     make(chan struct{}, 1),
 		paces:        make(map[core.ServiceID]*servicePace),
 		timesAskedAt: make(map[core.ZoneID]time.Duration),
 		holders:      make(map[ServiceKey][]selection.Position),
@@ -444,23 +439,16 @@
 // take counts a request as running at an upstream and returns the selection of it. The caller
 // holds the lock.
 func (table *Table) take(now time.Duration, known *upstream, query Query, cost float64) Selection {
+	candidate := table.candidate(now, known, query)
 	table.sendBrittle(now, known)
-	selected := table.describe(now, known, query, cost)
 	table.countSend(known, query)
-	selected.prompt = known.sendPrompt(query)
-	return selected
-}
-
-// describe returns an upstream as a selection, before the request is counted there. The caller
-// holds the lock.
-func (table *Table) describe(now time.Duration, known *upstream, query Query, cost float64) Selection {
-	candidate := table.candidate(now, known, query)
+	prompt := known.sendPrompt(query)
 	instance := &known.instance
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
-		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, Reading: candidate.Reading,
+		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, prompt: prompt, Reading: candidate.Reading,
 		Load: candidate.Load(), Service: known.service, Age: table.reportAge(now, instance.Zone),
-		unhindered: pace.Unhindered(known.running+known.otherRunning, known.instance.Slots),
+		unhindered: pace.Unhindered(known.running-1+known.otherRunning, known.instance.Slots),
 	}
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -23,9 +23,6 @@
 	// running counts the requests in flight from this VM, otherRunning those from other
 	// entry VMs.
 	running, otherRunning int
-	// reportedRunning is the number of requests of other entry VMs that was reported last. It
-	// differs from otherRunning while the plain upstreams of the service are overloaded.
-	reportedRunning int
 	// ownPrompts and otherPrompts are the tokens of the prompts in flight of which no event has
 	// arrived, of requests from this VM and from other entry VMs.
 	ownPrompts, otherPrompts core.Tokens
--- a/internal/fleet/usage.go
+++ b/internal/fleet/usage.go
@@ -74,20 +74,18 @@
 	table.setPace(now, zone, result)
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.reportedRunning, known.otherPrompts, known.unreported = 0, 0, 0
+			known.otherRunning, known.otherPrompts, known.unreported = 0, 0, 0
 		}
 	}
 	for _, use := range result.GetUpstreams() {
 		if known := table.upstreams[core.UpstreamID(use.GetUpstream())]; known != nil {
-			known.reportedRunning = int(use.GetRunning())
+			known.otherRunning = int(use.GetRunning())
 			known.otherPrompts = core.Tokens(min(use.GetPromptTokens(), maxReportedTokens))
 		}
 	}
 	for _, known := range table.upstreams {
 		if known.instance.Zone == zone {
-			known.otherRunning = known.reportedRunning
 			table.updateBound(known)
 		}
 	}
-	table.noteReport(zone)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -69,8 +69,6 @@
 	// before. sentAt is the time at which that send started.
 	outcome core.Outcome
 	sentAt  time.Time
-	// firstEventAt is the time of the first event of the answer, zero before.
-	firstEventAt time.Time
 	// tokens were taken from the quota of the workspace for this request.
 	tokens core.Tokens
 	// retryAfter replaces the usual time after which a caller may return, if it is positive.
@@ -214,9 +212,6 @@
 	if reason := call.cannotContinue(); reason != "" {
 		return tryAnother, reason
 	}
-	if reason := call.awaitRoom(ctx); reason != "" {
-		return tryAnother, reason
-	}
 	selection, reason, ok := call.chooseAdmitted(ctx)
 	if !ok {
 		return tryAnother, reason
@@ -236,7 +231,6 @@
 	next := call.send(ctx, selection, state == reach.Kept && !call.dialAnyway)
 	call.recordEnd(selection, runs)
 	call.gateway.options.Table.Finish(selection)
-	call.gateway.waiting.ended(call)
 	if next == tryAnother && !retry.Allowed(call.route, call.counts) {
 		return tryAnother, "the route allows no further send"
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,8 +117,6 @@
 	// paths knows which upstreams this VM reaches, and handovers the VMs that take requests over.
 	paths     paths
 	handovers handoverTable
-	// waiting holds the requests that wait for room at the upstreams.
-	waiting waitingRoom
 	// stopping is the planned end of the process.
 	stopping stopping
 	// begun holds the origins of the streams that began on this VM.
@@ -139,18 +137,14 @@
 	gateway := &Gateway{options: options, started: clock.Now(), budgets: make(map[core.ServiceID]*retry.Budget)}
 	gateway.bodies.Limit = options.Bodies
 	gateway.stopping.ended, gateway.stopping.end = context.WithCancel(context.Background())
-	gateway.stopping.begun, gateway.stopping.begin = context.WithCancel(context.Background())
 	closeCopies := gateway.copies.start(options.Placer)
 	closeLosses := gateway.losses.start(gateway)
 	closePaths := gateway.paths.start(gateway)
-	closeWaiting := gateway.waiting.start(gateway)
 	return gateway, func() {
 		closeCopies()
 		closeLosses()
 		closePaths()
-		closeWaiting()
 		gateway.handovers.conns.Close()
-		gateway.stopping.begin()
 		gateway.stopping.end()
 		gateway.conns.Close()
 	}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -11,9 +11,6 @@
 	// ended ends with the time until which responses can be written.
 	ended context.Context
 	end   context.CancelFunc
-	// begun ends with the call of Stop.
-	begun context.Context
-	begin context.CancelFunc
 
 	// lock is a leaf lock: no other lock is acquired while it is held. It guards lateFrom and
 	// endsAt, which are zero until Stop is called.
@@ -26,15 +23,13 @@
 
 // Stop announces that the process ends. Requests that are not answered at the time endsAt get a
 // response then that says whether they may have run; streams that have begun are broken off.
-// Requests that wait for room at
-// the upstreams are refused at once. From lateFrom on, a request whose time limit ends after endsAt is refused before it is sent
+// From lateFrom on, a request whose time limit ends after endsAt is refused before it is sent
 // to an upstream. The function that it returns frees its timer.
 func (gateway *Gateway) Stop(lateFrom, endsAt time.Time) (release func()) {
 	stopping := &gateway.stopping
 	stopping.lock.Lock()
 	defer stopping.lock.Unlock()
 	stopping.lateFrom, stopping.endsAt = lateFrom, endsAt
-	stopping.begin()
 	timer := time.AfterFunc(time.Until(endsAt), stopping.end)
 	return func() { timer.Stop() }
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,7 +85,6 @@
 		return false
 	}
 	if call.events == 0 && count > 0 {
-		call.firstEventAt = time.Now()
 		attempt.noteBeginning()
 	}
 	if attempt.events == 0 && count > 0 {
