Fill the own buckets of the quotas after a quiet time

Change: an own bucket is full after 8.5 s without use, also before its first use, but not in the first 8.5 s of a process. The sum of the allowance counts each bucket once as full.

--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -65,6 +65,8 @@
 	asked         time.Duration
 	// own is the level of the own bucket, filled up to ownFlow.
 	own, ownFlow float64
+	// ownUsed is the time of the last use of the own bucket.
+	ownUsed time.Duration
 	// rate is the demand in tokens a second and size the average size of requests, at used.
 	rate, size float64
 	used       time.Duration
@@ -80,6 +82,9 @@
 // is not safe for concurrent use.
 type Lease struct {
 	share core.QuotaShare
+	// started is set once the limits were set for the first time, at began.
+	started bool
+	began   time.Duration
 	// answered is the stamp of the last answer and received the time of its receipt.
 	answered Stamp
 	received time.Duration
@@ -102,6 +107,9 @@
 // SetLimits removes what is held for workspaces that no longer have a limit.
 func (lease *Lease) SetLimits(now time.Duration, workspaces []core.Workspace) {
 	lease.advance(now)
+	if !lease.started {
+		lease.started, lease.began = true, now
+	}
 	lease.base = lease.flow
 	limited := make(map[core.WorkspaceID]bool)
 	for i := range workspaces {
@@ -153,8 +161,13 @@
 	return ownCapacity(limit) * lease.share.Fraction()
 }
 
-// fillOwn adds the tokens since the last call to the own bucket.
-func (lease *Lease) fillOwn(held *holding) {
+// fillOwn adds the tokens since the last call to the own bucket. A process that has just started
+// does not know what the one before it has used.
+func (lease *Lease) fillOwn(now time.Duration, held *holding) {
+	if lease.started && now-max(held.ownUsed, lease.began) >= ownRefillTime {
+		held.own, held.ownFlow = lease.ownLimit(held.limit), lease.flow
+		return
+	}
 	held.own = min(lease.ownLimit(held.limit), held.own+float64(held.limit.Rate)*(lease.flow-held.ownFlow))
 	held.ownFlow = lease.flow
 }
@@ -238,13 +251,16 @@
 func (lease *Lease) TakeOwn(now time.Duration, workspace *core.Workspace, tokens core.Tokens) (time.Duration, bool) {
 	held := lease.holding(workspace)
 	lease.advance(now)
-	lease.fillOwn(held)
+	lease.fillOwn(now, held)
 	granted := min(tokens, held.valid(now))
 	rest := float64(tokens - granted)
 	if rest <= held.own {
 		held.tokens -= granted
 		held.taken += granted
-		held.own -= rest
+		if rest > 0 {
+			held.own -= rest
+			held.ownUsed = now
+		}
 		return 0, true
 	}
 	rate := float64(held.limit.Rate) * lease.share.Fraction()
@@ -339,7 +355,7 @@
 		want.Returned, want.ReturnedFrom = tokens, held.stamp.At
 	}
 	held.tokens, held.taken, held.asked = 0, 0, now
-	lease.fillOwn(held)
+	lease.fillOwn(now, held)
 	want.Reserve = core.Tokens(lease.ownLimit(held.limit) - held.own)
 	return want
 }
@@ -374,7 +390,7 @@
 		lease.list(held)
 	}
 	if reserve := grant.Tokens - usable; reserve > 0 {
-		lease.fillOwn(held)
+		lease.fillOwn(now, held)
 		held.own = min(lease.ownLimit(held.limit), held.own+float64(reserve))
 	}
 	if grant.RetryAfter <= 0 {
--- a/pkg/policy/quota/limits.go
+++ b/pkg/policy/quota/limits.go
@@ -35,6 +35,9 @@
 	ownRateTime                = 150 * time.Millisecond
 	ownMaxRateTime             = 2 * time.Second
 	maxOwnTokens   core.Tokens = 58_000
+	// ownRefillTime is the time without use after which an own bucket is full: what was used before
+	// lies outside the 8 s, and the sum above counts each bucket once as full.
+	ownRefillTime = 8500 * time.Millisecond
 )
 
 const (
