Lose tokens of an older answer that are returned late

Cause: Return compared the age of the last answer only. A request that waited for seconds for room and was then refused moved its tokens into the present lease, so tokens of before an 8 s window ran in it. Change: the gateway passes the time at which the tokens were taken; those of an older answer are lost, as docs/design/quotas.md says.

--- a/internal/fleet/quota.go
+++ b/internal/fleet/quota.go
@@ -185,12 +185,13 @@
 	return <-waiter.decided
 }
 
-// Return gives back the tokens of a request that was not sent to any upstream.
-func (follower *Follower) Return(workspace *core.Workspace, tokens core.Tokens) {
+// Return gives back the tokens of a request that was not sent to any upstream, and that took them at
+// the time taken.
+func (follower *Follower) Return(workspace *core.Workspace, tokens core.Tokens, taken time.Duration) {
 	quotas := &follower.quotas
 	quotas.lock.Lock()
 	defer quotas.lock.Unlock()
-	quotas.lease.Return(clock.Now(), workspace.Workspace, tokens)
+	quotas.lease.Return(clock.Now(), workspace.Workspace, tokens, taken)
 }
 
 // quotaLoop sends the requests for tokens, one after another, until the follower stops. While the
--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -137,7 +137,7 @@
 					granted++
 					lock.Unlock()
 				}
-				follower.Return(&workspaces[i%2], 0)
+				follower.Return(&workspaces[i%2], 0, clock.Now())
 			}
 		})
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -71,8 +71,9 @@
 	sentAt  time.Time
 	// firstEventAt is the time of the first event of the answer, zero before.
 	firstEventAt time.Time
-	// tokens were taken from the quota of the workspace for this request.
-	tokens core.Tokens
+	// tokens were taken from the quota of the workspace for this request, at the time tokensAt.
+	tokens   core.Tokens
+	tokensAt time.Duration
 	// retryAfter replaces the usual time after which a caller may return, if it is positive.
 	retryAfter time.Duration
 	// failure is an error response of an upstream that is forwarded if no other upstream
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,8 +61,9 @@
 	// Take takes the tokens of a request. If the workspace is at its limit, it returns false and
 	// the time after which the caller is to return.
 	Take(ctx context.Context, workspace *core.Workspace, tokens core.Tokens) (retryAfter time.Duration, ok bool)
-	// Return gives back the tokens of a request that was not sent to any upstream.
-	Return(workspace *core.Workspace, tokens core.Tokens)
+	// Return gives back the tokens of a request that was not sent to any upstream, and that took them
+	// at the time taken, a reading of package clock.
+	Return(workspace *core.Workspace, tokens core.Tokens, taken time.Duration)
 }
 
 // originFinder knows which software versions began the streams of other VMs.
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "net/http"
+import (
+	"net/http"
+
+	"github.com/dandelionring/dandelionring/internal/clock"
+)
 
 // takeQuota takes the tokens of the request from the quota of the workspace. If the workspace is at
 // its limit, it refuses the request and returns false. A request that another VM has handed over was
@@ -17,7 +21,7 @@
 		call.refuse(http.StatusTooManyRequests, reasonQuota)
 		return false
 	}
-	call.tokens = tokens
+	call.tokens, call.tokensAt = tokens, clock.Now()
 	return true
 }
 
@@ -27,7 +31,7 @@
 // returnQuota gives back the tokens of a request that was not sent to any upstream.
 func (call *call) returnQuota() {
 	if call.tokens > 0 && call.counts.Sends == 0 {
-		call.gateway.options.Quotas.Return(call.workspace, call.tokens)
+		call.gateway.options.Quotas.Return(call.workspace, call.tokens, call.tokensAt)
 		call.tokens = 0
 	}
 }
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/datadriven"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
 )
@@ -28,7 +29,10 @@
 	return quotas.left, quotas.left == 0
 }
 
-func (quotas *countedQuotas) Return(workspace *core.Workspace, tokens core.Tokens) {
+func (quotas *countedQuotas) Return(workspace *core.Workspace, tokens core.Tokens, taken time.Duration) {
+	if since := clock.Now() - taken; since < 0 || since > time.Minute {
+		quotas.calls = append(quotas.calls, fmt.Sprint("taken ", since, " ago"))
+	}
 	quotas.calls = append(quotas.calls, fmt.Sprint("return ", workspace.Workspace, " ", tokens))
 }
 
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -254,11 +254,12 @@
 	return held.returns.after(now, timeFor(rest-held.own, rate), float64(tokens), rate), false
 }
 
-// Return gives back the tokens of a request that was not sent to any upstream. They are lost if
-// the answer that granted them is no longer the last one.
-func (lease *Lease) Return(now time.Duration, workspace core.WorkspaceID, tokens core.Tokens) {
+// Return gives back the tokens of a request that was not sent to any upstream, and that took them at
+// the time taken. They are lost if the answer that granted them is no longer the last one: a request
+// may be given up seconds after it took its tokens.
+func (lease *Lease) Return(now time.Duration, workspace core.WorkspaceID, tokens core.Tokens, taken time.Duration) {
 	held := lease.holdings[workspace]
-	if held == nil || now-held.asked >= leaseTime {
+	if held == nil || taken < held.asked || now-held.asked >= leaseTime {
 		return
 	}
 	tokens = min(tokens, held.taken)
--- a/pkg/policy/quota/script_test.go
+++ b/pkg/policy/quota/script_test.go
@@ -97,7 +97,13 @@
 		retryAfter, ok := lease.TakeOwn(now, &script.workspace, tokens)
 		return fmt.Sprint(ok, " ", retryAfter.Round(time.Millisecond))
 	case "return":
-		lease.Return(now, "w", tokens)
+		taken := at
+		data.MaybeScanArgs(t, "taken", &taken)
+		since, err := time.ParseDuration(taken)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lease.Return(now, "w", tokens, time.Hour+since)
 	case "level":
 		script.grantor.advance(now, 0)
 		bucket := script.grantor.buckets["w"]
