Keep debts and drop old refusals when limits change

Cause: a workspace that lost its limit, or was removed, and got it again had a new bucket, so each such change allowed a further debt of 40,000 tokens. The times of refused callers stayed after a limit was raised: up to 10 s for a caller whose tokens come in 50 ms, and up to 100 ms of refusals at a VM without a question. A VM with an older table was refused while the owner knew that the limit was gone. Change: the grantor keeps buckets below zero without a limit; a changed limit clears refusals at the grantor and the VM; a workspace without a limit at the grantor gets what is asked.

--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -75,6 +76,10 @@
 	// order holds the members once more, since the flow looks at all of them.
 	order   []*member
 	buckets map[core.WorkspaceID]*bucket
+	// indebted holds the buckets below zero of workspaces that have no limit now, and unlimited the
+	// workspaces of the table without one.
+	indebted  map[core.WorkspaceID]*bucket
+	unlimited map[core.WorkspaceID]bool
 	// flow is the time since the start, weighted with the sum of the counted shares, in seconds.
 	flow   float64
 	flowAt time.Duration
@@ -96,25 +101,35 @@
 	return grantor
 }
 
-// SetLimits sets the limits of all workspaces. The level of a bucket is kept, cut to the new burst.
+// SetLimits sets the limits of all workspaces. The level of a bucket is kept, cut to the new burst. A
+// debt is kept also while the workspace has no limit: otherwise each time that it gets one again would
+// allow a further debt.
 func (grantor *Grantor) SetLimits(now time.Duration, workspaces []core.Workspace) {
 	grantor.advance(now, 0)
-	next := make(map[core.WorkspaceID]*bucket)
+	next, indebted, unlimited := make(map[core.WorkspaceID]*bucket), make(map[core.WorkspaceID]*bucket), make(map[core.WorkspaceID]bool)
+	for _, former := range []map[core.WorkspaceID]*bucket{grantor.buckets, grantor.indebted} {
+		for id, bucket := range former {
+			if bucket.fill(grantor.flow); bucket.level < 0 {
+				indebted[id] = bucket
+			}
+		}
+	}
 	for i := range workspaces {
 		workspace := &workspaces[i]
 		if workspace.Quota.Rate <= 0 {
+			unlimited[workspace.Workspace] = true
 			continue
 		}
-		known := grantor.buckets[workspace.Workspace]
-		if known == nil {
-			known = &bucket{flow: grantor.flow}
+		known := cmp.Or(grantor.buckets[workspace.Workspace], indebted[workspace.Workspace], &bucket{flow: grantor.flow})
+		delete(indebted, workspace.Workspace)
+		if known.limit != workspace.Quota {
+			known.returns = returns{}
 		}
-		known.fill(grantor.flow)
 		known.limit = workspace.Quota
 		known.level = min(known.level, capacity(known.limit))
 		next[workspace.Workspace] = known
 	}
-	grantor.buckets = next
+	grantor.buckets, grantor.indebted, grantor.unlimited = next, indebted, unlimited
 }
 
 // SetShares sets the recorded shares.
@@ -238,6 +253,11 @@
 func (grantor *Grantor) grantWant(now time.Duration, member *member, want Want) Grant {
 	grant := Grant{Workspace: want.Workspace}
 	bucket := grantor.buckets[want.Workspace]
+	if bucket == nil && grantor.unlimited[want.Workspace] {
+		// The VM does not know yet that the limit is gone, or knows one that is not in force everywhere.
+		grant.Tokens = want.Waiting + want.Ahead
+		return grant
+	}
 	if bucket == nil {
 		// The table of this VM is older than that of the other one, or newer.
 		if want.Waiting > 0 {
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -99,14 +99,20 @@
 	recent []*holding
 }
 
-// SetLimits removes what is held for workspaces that no longer have a limit.
+// SetLimits removes what is held for workspaces that no longer have a limit, and the refusals of
+// those whose limit has changed.
 func (lease *Lease) SetLimits(now time.Duration, workspaces []core.Workspace) {
 	lease.advance(now)
 	lease.base = lease.flow
 	limited := make(map[core.WorkspaceID]bool)
 	for i := range workspaces {
-		if workspaces[i].Quota.Rate > 0 {
-			limited[workspaces[i].Workspace] = true
+		if workspaces[i].Quota.Rate <= 0 {
+			continue
+		}
+		limited[workspaces[i].Workspace] = true
+		if held := lease.holdings[workspaces[i].Workspace]; held != nil && held.limit != workspaces[i].Quota {
+			lease.fillOwn(held)
+			held.limit, held.returns, held.refusedUntil = workspaces[i].Quota, returns{}, 0
 		}
 	}
 	lease.recent = slices.DeleteFunc(lease.recent, func(held *holding) bool { return !limited[held.workspace] })
--- a/pkg/policy/quota/script_test.go
+++ b/pkg/policy/quota/script_test.go
@@ -56,6 +56,9 @@
 		if script.grantor != nil {
 			script.grantor.SetLimits(now, []core.Workspace{script.workspace})
 		}
+		for _, lease := range script.leases {
+			lease.SetLimits(now, []core.Workspace{script.workspace})
+		}
 	case "grantor":
 		script.grantor = NewGrantor(now, core.FencingToken(number("token")), script.shares, data.HasArg("resumed"))
 		script.grantor.SetLimits(now, []core.Workspace{script.workspace})
