Make the check of the limit in TestTakeTogether able to fail

Cause: all requests of the test together were 80,000 tokens, its limit at least 600,000. Change: the requests have 2,000 tokens, and the test checks that they exceed its limit.

--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -124,7 +124,7 @@
 	awaitAttached(t, control)
 	time.Sleep(300 * time.Millisecond) // the buckets fill
 	before := control.sent()
-	const callers, each, tokens = 40, 20, 100
+	const callers, each, tokens = 40, 20, 2000 // far above the limit in a second
 	var running sync.WaitGroup
 	var lock sync.Mutex
 	granted := 0
@@ -150,6 +150,7 @@
 	is.True(granted > 0)
 	limit := 2 * (100_000*(took.Seconds()+2) + 100_000)
 	is.True(float64(granted*tokens) < limit)
+	is.True(limit < callers*each*tokens) // otherwise the check of the limit could not fail
 }
 
 // TestNoLimitNoMessage guards against messages between zones in a deployment without limits.
