Rule out a lost command that lowers a share

Cause: a VM is told the least share that was proposed since the last record. If that command was lost and the recorded shares became right again, nothing was proposed any more, and the share stayed lowered, or zero, until another VM came or went. Change: the recorded shares are proposed once more under a new number. Result: the script testdata/lost_record: the VM had half of its share after the record before, and has the whole now.

--- a/pkg/policy/quota/grantor.go
+++ b/pkg/policy/quota/grantor.go
@@ -383,10 +383,13 @@
 	return Shares{Number: grantor.number, Shares: next}, true
 }
 
+// isRecorded reports whether the shares are the recorded ones, and no lower one was proposed since: that
+// command may be lost or still arrive. The recorded shares are proposed once more then, under a new
+// number, after which it has no effect.
 func (grantor *Grantor) isRecorded(shares map[core.VMID]core.QuotaShare) bool {
 	count := 0
 	for _, member := range grantor.order {
-		if shares[member.vm] != member.recorded {
+		if shares[member.vm] != member.recorded || member.proposed < member.recorded {
 			return false
 		}
 		if member.recorded > 0 {
