Do not wait for a silent grantor while the own share suffices

Cause: after a request for tokens that failed, callers waited up to 150 ms for the next one in each cycle of 500 ms, until a new VM granted the quotas. Change: while the last request failed, a request whose tokens the own bucket has takes them at once. Others wait as before.

--- a/internal/fleet/quota.go
+++ b/internal/fleet/quota.go
@@ -55,6 +55,8 @@
 	asked time.Duration
 	// pausedUntil is the end of the pause after a failed request.
 	pausedUntil time.Duration
+	// unanswered is set if the last request failed.
+	unanswered bool
 	// attached is the state that was logged last.
 	attached bool
 	// named holds the workspaces with metrics of their own.
@@ -135,7 +137,8 @@
 		return quotaDecision{result: resultRefused, retryAfter: retryAfter}, nil, name
 	}
 	silent := quotas.asked > 0 && now-quotas.asked >= quotaWait
-	if !owned || silent || now < quotas.pausedUntil {
+	own := quotas.unanswered && quotas.lease.OwnSuffices(now, workspace, tokens)
+	if !owned || silent || own || now < quotas.pausedUntil {
 		return quotas.takeOwn(now, workspace, tokens), nil, name
 	}
 	waiter := &quotaWaiter{workspace: workspace, tokens: tokens, decided: make(chan quotaDecision, 1)}
@@ -297,7 +300,7 @@
 	now := clock.Now()
 	quotas.asked = 0
 	answered := message != nil && !message.GetNotOwner() && quotas.lease.Answer(now, asked, request, peer.QuotaResultFromMessage(message))
-	if !answered {
+	if quotas.unanswered = !answered; !answered {
 		quotas.pausedUntil = now + quotaRetryDelay
 	}
 	waited := "false"
--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -260,3 +260,28 @@
 		at++
 	}
 }
+
+// TestSilentGrantorDelay guards against requests that wait for a control VM which did not answer the last
+// request for tokens, although the VM's own share has their tokens: calls would miss their objective.
+func TestSilentGrantorDelay(t *testing.T) {
+	is := is.New(t)
+	workspaces := []core.Workspace{limitedWorkspace("a", 100_000)}
+	control := newQuotaControl(workspaces)
+	follower, stop := followQuotas(control, workspaces)
+	defer stop()
+	awaitAttached(t, control)
+	control.silence()
+	time.Sleep(quota.AttachedTime + quotaTimeout)
+	const count = 60
+	delayed := 0
+	for range count {
+		start := time.Now()
+		_, ok := follower.Take(context.Background(), &workspaces[0], 10)
+		is.True(ok)
+		if time.Since(start) > quotaWait/2 {
+			delayed++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(delayed, 0)
+}
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -238,6 +238,14 @@
 	return true
 }
 
+// OwnSuffices reports whether TakeOwn would serve a request.
+func (lease *Lease) OwnSuffices(now time.Duration, workspace *core.Workspace, tokens core.Tokens) bool {
+	held := lease.holding(workspace)
+	lease.advance(now)
+	lease.fillOwn(held)
+	return float64(tokens-min(tokens, held.valid(now))) <= held.own
+}
+
 // TakeOwn takes the tokens of a request from what is left of the granted ones and from the own
 // bucket, while the grantor does not answer. Otherwise it returns the time after which the caller
 // is to return.
