--- a/internal/fleet/quota.go
+++ b/internal/fleet/quota.go
@@ -55,6 +55,8 @@
 	asked time.Duration
 	// pausedUntil is the end of the pause after a failed request.
 	pausedUntil time.Duration
+	// unanswered is set if the last request failed.
+	unanswered bool
 	// attached is the state that was logged last.
 	attached bool
 	// named holds the workspaces with metrics of their own.
@@ -135,7 +137,8 @@
 		return quotaDecision{result: resultRefused, retryAfter: retryAfter}, nil, name
 	}
 	silent := quotas.asked > 0 && now-quotas.asked >= quotaWait
-	if !owned || silent || now < quotas.pausedUntil {
+	own := quotas.unanswered && quotas.lease.OwnSuffices(now, workspace, tokens)
+	if !owned || silent || own || now < quotas.pausedUntil {
 		return quotas.takeOwn(now, workspace, tokens), nil, name
 	}
 	waiter := &quotaWaiter{workspace: workspace, tokens: tokens, decided: make(chan quotaDecision, 1)}
@@ -185,12 +188,13 @@
 	return <-waiter.decided
 }
 
-// Return gives back the tokens of a request that was not sent to any upstream.
-func (follower *Follower) Return(workspace *core.Workspace, tokens core.Tokens) {
+// Return gives back the tokens of a request that was not sent to any upstream, and that took them at
+// the time taken.
+func (follower *Follower) Return(workspace *core.Workspace, tokens core.Tokens, taken time.Duration) {
 	quotas := &follower.quotas
 	quotas.lock.Lock()
 	defer quotas.lock.Unlock()
-	quotas.lease.Return(clock.Now(), workspace.Workspace, tokens)
+	quotas.lease.Return(clock.Now(), workspace.Workspace, tokens, taken)
 }
 
 // quotaLoop sends the requests for tokens, one after another, until the follower stops. While the
@@ -296,7 +300,7 @@
 	now := clock.Now()
 	quotas.asked = 0
 	answered := message != nil && !message.GetNotOwner() && quotas.lease.Answer(now, asked, request, peer.QuotaResultFromMessage(message))
-	if !answered {
+	if quotas.unanswered = !answered; !answered {
 		quotas.pausedUntil = now + quotaRetryDelay
 	}
 	waited := "false"
--- a/internal/fleet/quota_test.go
+++ b/internal/fleet/quota_test.go
@@ -124,7 +124,7 @@
 	awaitAttached(t, control)
 	time.Sleep(300 * time.Millisecond) // the buckets fill
 	before := control.sent()
-	const callers, each, tokens = 40, 20, 100
+	const callers, each, tokens = 40, 20, 2000 // far above the limit in a second
 	var running sync.WaitGroup
 	var lock sync.Mutex
 	granted := 0
@@ -137,7 +137,7 @@
 					granted++
 					lock.Unlock()
 				}
-				follower.Return(&workspaces[i%2], 0)
+				follower.Return(&workspaces[i%2], 0, clock.Now())
 			}
 		})
 	}
@@ -150,6 +150,7 @@
 	is.True(granted > 0)
 	limit := 2 * (100_000*(took.Seconds()+2) + 100_000)
 	is.True(float64(granted*tokens) < limit)
+	is.True(limit < callers*each*tokens) // otherwise the check of the limit could not fail
 }
 
 // TestNoLimitNoMessage guards against messages between zones in a deployment without limits.
@@ -259,3 +260,28 @@
 		at++
 	}
 }
+
+// TestSilentGrantorDelay guards against requests that wait for a control VM which did not answer the last
+// request for tokens, although the VM's own share has their tokens: calls would miss their objective.
+func TestSilentGrantorDelay(t *testing.T) {
+	is := is.New(t)
+	workspaces := []core.Workspace{limitedWorkspace("a", 100_000)}
+	control := newQuotaControl(workspaces)
+	follower, stop := followQuotas(control, workspaces)
+	defer stop()
+	awaitAttached(t, control)
+	control.silence()
+	time.Sleep(quota.AttachedTime + quotaTimeout)
+	const count = 60
+	delayed := 0
+	for range count {
+		start := time.Now()
+		_, ok := follower.Take(context.Background(), &workspaces[0], 10)
+		is.True(ok)
+		if time.Since(start) > quotaWait/2 {
+			delayed++
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(delayed, 0)
+}
--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -82,7 +82,8 @@
 // is not safe for concurrent use.
 type Lease struct {
 	share core.QuotaShare
-	// started is set once the limits were set for the first time, at began.
+	// started is set once the limits were set for the first time. No use of an own bucket is
+	// forgotten after the time began: that of the start, or of the last removal of a limit.
 	started bool
 	began   time.Duration
 	// answered is the stamp of the last answer and received the time of its receipt.
@@ -104,7 +105,8 @@
 	recent []*holding
 }
 
-// SetLimits removes what is held for workspaces that no longer have a limit.
+// SetLimits removes what is held for workspaces that no longer have a limit, and the refusals of
+// those whose limit has changed.
 func (lease *Lease) SetLimits(now time.Duration, workspaces []core.Workspace) {
 	lease.advance(now)
 	if !lease.started {
@@ -113,13 +115,19 @@
 	lease.base = lease.flow
 	limited := make(map[core.WorkspaceID]bool)
 	for i := range workspaces {
-		if workspaces[i].Quota.Rate > 0 {
-			limited[workspaces[i].Workspace] = true
+		if workspaces[i].Quota.Rate <= 0 {
+			continue
+		}
+		limited[workspaces[i].Workspace] = true
+		if held := lease.holdings[workspaces[i].Workspace]; held != nil && held.limit != workspaces[i].Quota {
+			lease.fillOwn(now, held)
+			held.limit, held.returns, held.refusedUntil = workspaces[i].Quota, returns{}, 0
 		}
 	}
 	lease.recent = slices.DeleteFunc(lease.recent, func(held *holding) bool { return !limited[held.workspace] })
 	for id := range lease.holdings {
 		if !limited[id] {
+			lease.began = now
 			delete(lease.holdings, id)
 		}
 	}
@@ -164,7 +172,7 @@
 // fillOwn adds the tokens since the last call to the own bucket. A process that has just started
 // does not know what the one before it has used.
 func (lease *Lease) fillOwn(now time.Duration, held *holding) {
-	if lease.started && now-max(held.ownUsed, lease.began) >= ownRefillTime {
+	if lease.started && now-max(held.ownUsed, lease.began) >= ownRefillTime && now < lease.received+ownShareTime {
 		held.own, held.ownFlow = lease.ownLimit(held.limit), lease.flow
 		return
 	}
@@ -245,6 +253,14 @@
 	return true
 }
 
+// OwnSuffices reports whether TakeOwn would serve a request.
+func (lease *Lease) OwnSuffices(now time.Duration, workspace *core.Workspace, tokens core.Tokens) bool {
+	held := lease.holding(workspace)
+	lease.advance(now)
+	lease.fillOwn(now, held)
+	return float64(tokens-min(tokens, held.valid(now))) <= held.own
+}
+
 // TakeOwn takes the tokens of a request from what is left of the granted ones and from the own
 // bucket, while the grantor does not answer. Otherwise it returns the time after which the caller
 // is to return.
@@ -270,11 +286,12 @@
 	return held.returns.after(now, timeFor(rest-held.own, rate), float64(tokens), rate), false
 }
 
-// Return gives back the tokens of a request that was not sent to any upstream. They are lost if
-// the answer that granted them is no longer the last one.
-func (lease *Lease) Return(now time.Duration, workspace core.WorkspaceID, tokens core.Tokens) {
+// Return gives back the tokens of a request that was not sent to any upstream, and that took them at
+// the time taken. They are lost if the answer that granted them is no longer the last one: a request
+// may be given up seconds after it took its tokens.
+func (lease *Lease) Return(now time.Duration, workspace core.WorkspaceID, tokens core.Tokens, taken time.Duration) {
 	held := lease.holdings[workspace]
-	if held == nil || now-held.asked >= leaseTime {
+	if held == nil || taken < held.asked || now-held.asked >= leaseTime {
 		return
 	}
 	tokens = min(tokens, held.taken)
--- a/pkg/policy/quota/own_test.go
+++ b/pkg/policy/quota/own_test.go
@@ -28,4 +28,7 @@
 	is.True(!take(ownRefillTime+time.Second, full))
 	is.True(!take(2*ownRefillTime-time.Millisecond, full))
 	is.True(take(2*ownRefillTime, full))
+	lease.SetLimits(2*ownRefillTime, nil)
+	lease.SetLimits(2*ownRefillTime, []core.Workspace{*workspace})
+	is.True(!take(2*ownRefillTime+time.Second, full)) // a limit that was removed and set again
 }
--- a/pkg/policy/quota/script_test.go
+++ b/pkg/policy/quota/script_test.go
@@ -56,6 +56,9 @@
 		if script.grantor != nil {
 			script.grantor.SetLimits(now, []core.Workspace{script.workspace})
 		}
+		for _, lease := range script.leases {
+			lease.SetLimits(now, []core.Workspace{script.workspace})
+		}
 	case "grantor":
 		script.grantor = NewGrantor(now, core.FencingToken(number("token")), script.shares, data.HasArg("resumed"))
 		script.grantor.SetLimits(now, []core.Workspace{script.workspace})
@@ -97,7 +100,13 @@
 		retryAfter, ok := lease.TakeOwn(now, &script.workspace, tokens)
 		return fmt.Sprint(ok, " ", retryAfter.Round(time.Millisecond))
 	case "return":
-		lease.Return(now, "w", tokens)
+		taken := at
+		data.MaybeScanArgs(t, "taken", &taken)
+		since, err := time.ParseDuration(taken)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lease.Return(now, "w", tokens, time.Hour+since)
 	case "level":
 		script.grantor.advance(now, 0)
 		bucket := script.grantor.buckets["w"]
