Do not fill own buckets when a VM gets a larger share

Cause: an own bucket is full after 8.5 s without use, also at a VM that has just got its share from another one, which may have used its own bucket a moment before. The buckets of all VMs could give more than ownCapacity in 8 s. Change: uses count as unknown from the time of a larger share on.

--- a/pkg/policy/quota/lease.go
+++ b/pkg/policy/quota/lease.go
@@ -83,7 +83,8 @@
 type Lease struct {
 	share core.QuotaShare
 	// started is set once the limits were set for the first time. No use of an own bucket is
-	// forgotten after the time began: that of the start, or of the last removal of a limit.
+	// forgotten after the time began: that of the start, of the last removal of a limit, or of the
+	// last larger share.
 	started bool
 	began   time.Duration
 	// answered is the stamp of the last answer and received the time of its receipt.
@@ -385,6 +386,9 @@
 	}
 	lease.advance(now)
 	lease.unsettled = result.Stamp.Token != lease.answered.Token || result.Share != lease.share || result.Share == 0
+	if result.Share > lease.share {
+		lease.began = now // the VM that had the share may just have used its own buckets
+	}
 	lease.answered, lease.received, lease.share = result.Stamp, now, result.Share
 	for i, grant := range result.Grants {
 		if i >= len(request.Wants) || request.Wants[i].Workspace != grant.Workspace {
--- a/pkg/policy/quota/own_test.go
+++ b/pkg/policy/quota/own_test.go
@@ -32,3 +32,24 @@
 	lease.SetLimits(2*ownRefillTime, []core.Workspace{*workspace})
 	is.True(!take(2*ownRefillTime+time.Second, full)) // a limit that was removed and set again
 }
+
+// TestOwnBucketOfLargerShare guards against a share whose own buckets were used by one VM and are full
+// again at once at the VM that gets the share.
+func TestOwnBucketOfLargerShare(t *testing.T) {
+	is := is.New(t)
+	workspace := &core.Workspace{Workspace: "w", Quota: core.Quota{Rate: 1000, Burst: 100_000}}
+	lease := &Lease{}
+	lease.SetLimits(0, []core.Workspace{*workspace})
+	answer := func(now time.Duration, share core.QuotaShare) {
+		request := lease.Request(now, "a", nil)
+		is.True(lease.Answer(now, now, request, Result{Stamp: Stamp{Token: 1, At: now}, Share: share}))
+	}
+	answer(time.Second, 0)
+	const given = 20 * time.Second
+	answer(given, core.WholeQuota/2)
+	full := core.Tokens(lease.ownLimit(workspace.Quota))
+	_, ok := lease.TakeOwn(given, workspace, full)
+	is.True(!ok)
+	_, ok = lease.TakeOwn(given+ownRefillTime, workspace, full)
+	is.True(ok)
+}
