Remove fields of selections that nothing reads

Cause: the relative load and the age of the report were inputs of the decision who waits, which was taken out. Change: the fields are removed; the test of the pace computes the load from the candidate. Result: the tests of fleet pass, with the expected texts unchanged.

--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -112,6 +112,7 @@
 	data.MaybeScanArgs(t, "tokens", &tokens)
 	counts := make(map[core.UpstreamID]int)
 	var selections []Selection
+	load := 0.0
 	for range count {
 		selected, ok := table.Select(now, Query{Service: "s", Tokens: core.Tokens(tokens)})
 		if !ok {
@@ -119,6 +120,9 @@
 		}
 		counts[selected.Upstream]++
 		selections = append(selections, selected)
+		candidate := table.pacedCandidate(table.upstreams[selected.Upstream])
+		candidate.Running-- // the load counts the request itself
+		load = candidate.Load()
 	}
 	for _, selected := range selections {
 		table.Finish(selected)
@@ -128,7 +132,7 @@
 		fmt.Fprintf(&out, "%s %d\n", known.instance.Upstream, counts[known.instance.Upstream])
 	}
 	last := selections[len(selections)-1]
-	fmt.Fprintf(&out, "last: %s load=%.2f service=%v\n", last.Upstream, last.Load, last.Service.Round(100*time.Microsecond))
+	fmt.Fprintf(&out, "last: %s load=%.2f service=%v\n", last.Upstream, load, last.Service.Round(100*time.Microsecond))
 	return out.String()
 }
 
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -373,15 +373,9 @@
 	prompt *pendingPrompt
 	// Limit is the limit that the upstream has stated.
 	Limit core.RequestLimit
-	// Load is the relative load: the requests that are known there and this one, divided by
-	// the slots that may be used. Up to 1 the request finds a free slot.
-	Load float64
 	// Service is the learned time of one answer of a call, or until the first event of a
 	// stream, at an upstream with a free slot. It is zero if unknown.
 	Service time.Duration
-	// Age is the age of the last report of other VMs' requests in the zone of the upstream,
-	// the largest duration if there was none.
-	Age time.Duration
 	// unhindered is set if the time of the answer is likely not to include a wait for a slot.
 	unhindered bool
 }
@@ -447,21 +441,11 @@
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
 		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, prompt: prompt, Reading: candidate.Reading,
-		Load: candidate.Load(), Service: known.service, Age: table.reportAge(now, instance.Zone),
+		Service: known.service,
 		unhindered: pace.Unhindered(known.running-1+known.otherRunning, known.instance.Slots),
 	}
 }
 
-// reportAge returns the age of the last report of the requests of other VMs in a zone, and the
-// largest duration if there was none. The caller holds the lock.
-func (table *Table) reportAge(now time.Duration, zone core.ZoneID) time.Duration {
-	at, ok := table.othersAt[zone]
-	if !ok {
-		return math.MaxInt64
-	}
-	return now - at
-}
-
 // HasSoftware reports whether an upstream that takes requests and is not excluded has the
 // software that the query asks for, whatever weights it holds.
 func (table *Table) HasSoftware(query Query) bool {
