--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -441,7 +441,7 @@
 	return Selection{
 		Upstream: instance.Upstream, Born: instance.Born, Address: instance.Address, Zone: instance.Zone, Software: known.software(),
 		Revision: table.revisions[query.Weights], Cost: cost, Weights: query.Weights, Limit: known.stated.limit, prompt: prompt, Reading: candidate.Reading,
-		Service: known.service,
+		Service:    known.service,
 		unhindered: pace.Unhindered(known.running-1+known.otherRunning, known.instance.Slots),
 	}
 }
