Send no request whose caller has left while it waited

Cause: awaitRoom returns no reason if the context has ended, so an upstream is chosen, a start is recorded and the request may be written to an open connection before that is closed. It counts as one that may have run. Change: sendOnce ends if the context has ended during the wait. Result: The case "leave" of TestRoom shows no failed send; without the change it fails with one in the log.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -217,6 +217,9 @@
 	if reason := call.awaitRoom(ctx); reason != "" {
 		return tryAnother, reason
 	}
+	if ctx.Err() != nil { // the caller has left, or the deadline has passed, during the wait
+		return tryAnother, ""
+	}
 	selection, reason, ok := call.chooseAdmitted(ctx)
 	if !ok {
 		return tryAnother, reason
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -63,7 +63,7 @@
 
 // TestRoom guards against a request that is sent to an upstream with a long queue although it cannot
 // be answered there in time, one that waits although there is room or its caller or the VM has
-// left, one that is refused although it could be answered, and a refusal without what it was
+// left, one that is sent although its caller has left, one that is refused although it could be answered, and a refusal without what it was
 // decided on in the log.
 func TestRoom(t *testing.T) {
 	datadriven.RunTest(t, "testdata/room", func(t *testing.T, data *datadriven.TestData) string {
@@ -135,6 +135,9 @@
 		if strings.Contains(lines.String(), "A request finds no room.") {
 			text += "logged: no room\n"
 		}
+		if strings.Contains(lines.String(), "A send failed.") {
+			text += "logged: a send failed\n"
+		}
 		return text
 	})
 }
