Predict the time of a large request by its prompt

Cause: The predicted time for which a request keeps its slot was the mean times tokens / mean tokens. A stream of 8 times the mean size with 4 s left was refused at a load of 1.05, and so were all of its size. Result: TestLargeRequest passes; before, the request was refused.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -517,7 +517,10 @@
 }
 
 // relativeSize returns the size of a request as the selection takes it.
-func relativeSize(query Query) float64 { return float64(query.Tokens) / float64(tokensPerSlot) }
+func relativeSize(query Query) float64 { return SlotTime(query.Tokens) }
+
+// SlotTime returns the time for which tokens keep a slot, relative to that of the average request.
+func SlotTime(tokens core.Tokens) float64 { return float64(tokens) / float64(tokensPerSlot) }
 
 // updateBound updates the least cost of an upstream after a change of its requests, its speed or
 // its share. The caller holds the lock.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -331,7 +331,9 @@
 		ticket.Tokens = call.workspace.Quota.Cost(call.request.Tokens)
 	}
 	if call.request.Tokens > 0 && service.tokens > 0 {
-		ticket.Size = min(maxSize, max(minSize, float64(call.request.Tokens)/float64(service.tokens)))
+		// Most of the time for which a request keeps its slot does not depend on its tokens.
+		more := fleet.SlotTime(call.request.Tokens) - fleet.SlotTime(core.Tokens(service.tokens))
+		ticket.Size = min(maxSize, max(minSize, 1+more))
 	}
 	return ticket
 }
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -21,6 +21,7 @@
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/retry"
+	"github.com/dandelionring/dandelionring/pkg/policy/room"
 )
 
 // statedLoad is an owner that states requests of other VMs at an upstream, and the time of an
@@ -164,3 +165,15 @@
 		t.Fatalf("refused: %s", reason)
 	}
 }
+
+// TestLargeRequest guards against large streams that are all refused as soon as a request has to wait:
+// one of 8 times the mean size takes 0.21 s more to read at 34 tokens a millisecond, and not 8 times
+// as long.
+func TestLargeRequest(t *testing.T) {
+	call := &call{start: time.Now(), deadline: time.Now().Add(4 * time.Second), route: &core.Route{Objective: 800 * time.Millisecond}, request: Request{Tokens: 8000}}
+	service := &serviceRoom{tokens: 1000}
+	state := room.State{Load: 1.05, Service: 200 * time.Millisecond, Hold: 600 * time.Millisecond, Slots: 1440, Requests: 1500, VMs: 63}
+	if decision, _ := service.queue.Arrive(0, call.ticket(0, 1, service), state); decision.Action != room.Send {
+		t.Fatalf("%s at a load of %.2f, with 4 s to the deadline", decision.Action, state.Load)
+	}
+}
