Hand over requests that wait for room when the path is lost

Cause: A request that waits keeps the state of the path from before. If the path to the upstreams is lost meanwhile, it waits to its last moment and is sent on the lost path instead of being handed over. And a request that is the only one allowed to show that the path has returned kept that turn while it waited, for seconds, and the VM handed over all others. Change: The wait ends with the path, and a request with such a turn does not wait. Result: The cases "cut" and "return" of TestRoom pass; with either part taken out its case fails.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -158,7 +158,7 @@
 			call.needsOpen, call.dialAnyway = false, true
 			continue
 		}
-		next, why := call.sendOnce(ctx, state)
+		next, why := call.sendOnce(ctx, state, turn)
 		call.gateway.paths.leave(service, turn)
 		if next == finished {
 			requestCounts.Inc(call.kind().String(), "answered")
@@ -207,18 +207,18 @@
 
 // sendOnce chooses an upstream and sends the request to it. It returns tryAnother and a reason
 // if no further send is possible or allowed.
-func (call *call) sendOnce(ctx context.Context, state reach.State) (nextStep, string) {
+func (call *call) sendOnce(ctx context.Context, state reach.State, turn reach.Turn) (nextStep, string) {
 	if reason := call.prepare(); reason != "" {
 		return tryAnother, reason
 	}
 	if reason := call.cannotContinue(); reason != "" {
 		return tryAnother, reason
 	}
-	if reason := call.awaitRoom(ctx); reason != "" {
-		return tryAnother, reason
-	}
-	if ctx.Err() != nil { // the caller has left, or the deadline has passed, during the wait
-		return tryAnother, ""
+	// A request with a turn shows whether the path has returned. Others get none while it waits.
+	if turn == 0 {
+		if reason, ok := call.awaitRoom(ctx); !ok {
+			return tryAnother, reason
+		}
 	}
 	selection, reason, ok := call.chooseAdmitted(ctx)
 	if !ok {
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -252,48 +252,53 @@
 }
 
 // awaitRoom waits until the request may be sent, if the upstreams have more requests than slots. It
-// returns the reason if the request is refused, and nothing if the caller has left. A request
-// that may have run, or that continues a stream, does not wait: it could not be refused.
-func (call *call) awaitRoom(ctx context.Context) string {
+// returns true if it may be, the reason if the request is refused, and neither if the caller has left,
+// the deadline has passed or the path to the upstreams was lost. A request that may have run, or that
+// continues a stream, does not wait: it could not be refused.
+func (call *call) awaitRoom(ctx context.Context) (string, bool) {
 	if call.counts.Runs > 0 || call.events > 0 || call.continues() || call.route.Objective <= 0 {
-		return ""
+		return "", true
 	}
 	waiting, table := &call.gateway.waiting, call.gateway.options.Table
 	query := fleet.Query{Service: call.service, Weights: call.request.Weights, Exclude: slices.Clone(call.tried), Origin: call.origin(), Request: call.request.ID, Tokens: call.request.Tokens}
 	now := clock.Now()
 	outlook, ok := table.Look(now, query)
 	if !ok {
-		return "" // an engine has to be found first
+		return "", true // an engine has to be found first
 	}
 	if query.Weights.Adapter != "" && outlook.Best.Cost >= extraCopyCost {
 		if outlook.Best.Cost >= waitForLoadCost {
-			return "" // the request waits for another copy of the weights instead
+			return "", true // the request waits for another copy of the weights instead
 		}
 		call.gateway.copies.request(query, outlook.Best.Upstream)
 	}
 	waiter := &waiter{query: query, known: true, outcome: make(chan room.Outcome, 1)}
 	ticket, decision := waiting.arrive(call, waiter, now, outlook, table.EntryVMs())
 	if decision.Action == room.Send {
-		return ""
+		return "", true
 	}
 	if decision.Action == room.Refuse {
-		return call.refuseForRoom(room.Outcome{Decision: decision, State: waiter.state}, now, "at arrival")
+		return call.refuseForRoom(room.Outcome{Decision: decision, State: waiter.state}, now, "at arrival"), false
 	}
+	reached, free := call.gateway.paths.whileReached(ctx, call.service)
+	defer free()
 	waiting.signal() // sets the timer
 	select {
-	case <-ctx.Done():
+	case <-reached.Done():
 	case <-call.gateway.stopping.begun.Done():
 	case outcome := <-waiter.outcome:
-		return call.endWait(outcome, now)
+		reason := call.endWait(outcome, now)
+		return reason, reason == "" && reached.Err() == nil
 	}
 	if waiting.remove(call.service, ticket) {
 		roomWaits.Inc(call.kind().String(), "left")
 		if call.gateway.stopping.begun.Err() != nil {
-			return reasonStopping
+			return reasonStopping, false
 		}
-		return ""
+		return "", false
 	}
-	return call.endWait(<-waiter.outcome, now)
+	reason := call.endWait(<-waiter.outcome, now)
+	return reason, reason == "" && reached.Err() == nil
 }
 
 // arrive decides on a request that arrives.
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -64,7 +64,8 @@
 
 // TestRoom guards against a request that is sent to an upstream with a long queue although it cannot
 // be answered there in time, one that waits although there is room or its caller or the VM has
-// left, one that is sent although its caller has left, one that is refused although it could be answered, and a refusal without what it was
+// left, one that is sent although its caller has left, one that waits although the path to the upstreams was lost or
+// it is the only one that may show that the path has returned, one that is refused although it could be answered, and a refusal without what it was
 // decided on in the log.
 func TestRoom(t *testing.T) {
 	datadriven.RunTest(t, "testdata/room", func(t *testing.T, data *datadriven.TestData) string {
@@ -104,6 +105,10 @@
 			gateway.waiting.waiting = maxWaiting
 		}
 		gateway.waiting.lock.Unlock()
+		if data.Cmd == "return" {
+			cutPath(gateway)
+			gateway.paths.answered("s")
+		}
 		before := roomWaiting.Load()
 		waits := func() bool { return roomWaiting.Load() > before }
 		ctx, leave := context.WithCancel(t.Context())
@@ -116,6 +121,9 @@
 		case "stop":
 			eventually(t, "the request waits", waits)
 			defer gateway.Stop(time.Now().Add(time.Second), time.Now().Add(2*time.Second))()
+		case "cut":
+			eventually(t, "the request waits", waits)
+			cutPath(gateway)
 		case "leave":
 			eventually(t, "the request waits", waits)
 			leave()
@@ -161,7 +169,7 @@
 // TestNoWaitAfterRun guards against a refusal, as not run, of a request that may have run.
 func TestNoWaitAfterRun(t *testing.T) {
 	call := &call{route: &core.Route{Kind: core.Idempotent, Objective: time.Second}, counts: retry.SendCounts{Sends: 1, Runs: 1}}
-	if reason := call.awaitRoom(t.Context()); reason != "" {
+	if reason, ok := call.awaitRoom(t.Context()); reason != "" || !ok {
 		t.Fatalf("refused: %s", reason)
 	}
 }
