Learn the time of a slot without the writes to slow callers

Cause: The time from the first event to the end of a stream contained the writes to the caller. Change: The time in which events are written is subtracted. Result: TestHoldOfSlowReader passes; without the subtraction it fails with 200 ms.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -71,6 +71,8 @@
 	sentAt  time.Time
 	// firstEventAt is the time of the first event of the answer, zero before.
 	firstEventAt time.Time
+	// writing is the time since then in which events were written to the caller, who may read slowly.
+	writing time.Duration
 	// tokens were taken from the quota of the workspace for this request.
 	tokens core.Tokens
 	// retryAfter replaces the usual time after which a caller may return, if it is positive.
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -49,8 +49,8 @@
 	// number routes.
 	objective time.Duration
 	routes    core.ConfigNumber
-	// afterFirst is the mean time from the first event of a stream to its end, and tokens the mean
-	// size of a request, zero before the first one.
+	// afterFirst is the mean time from the first event of a stream to its end without that of the
+	// writes to the caller, and tokens the mean size of a request, zero before the first one.
 	afterFirst, tokens mean
 }
 
@@ -119,7 +119,7 @@
 	defer waiting.lock.Unlock()
 	service := waiting.service(call)
 	if call.outcome == core.Ran && !call.firstEventAt.IsZero() && len(call.tried) == 1 {
-		service.afterFirst.observe(max(1, float64(time.Since(call.firstEventAt))))
+		service.afterFirst.observe(max(1, float64(time.Since(call.firstEventAt)-call.writing)))
 		if call.request.Tokens > 0 {
 			service.tokens.observe(float64(call.request.Tokens))
 		}
--- a/internal/gateway/room_test.go
+++ b/internal/gateway/room_test.go
@@ -185,3 +185,28 @@
 		t.Fatalf("%s at a load of %.2f, with 4 s to the deadline", decision.Action, state.Load)
 	}
 }
+
+// slowReader is a caller who reads slowly.
+type slowReader struct{ *httptest.ResponseRecorder }
+
+func (slowReader) Flush() { <-time.After(200 * time.Millisecond) }
+
+// TestHoldOfSlowReader guards against upstreams that seem to keep each slot for long, so that requests are
+// refused, since one caller has read a stream slowly.
+func TestHoldOfSlowReader(t *testing.T) {
+	upstreams := &scriptedUpstreams{answers: []string{"HTTP/1.1 200 OK\nId: r1\nSigned: x\nContent-Type: text/event-stream\nContent-Length: 18\n\ndata: a\n\ndata: b\n\n"}}
+	table := upstreams.start(t, 1)
+	table.SetRoutes(core.RouteTable{Number: 1, Routes: []core.Route{{
+		Name: "r", Host: "h.example", Prefix: "/p/", Kind: core.Stream, Timeout: 5 * time.Second, Targets: []core.RouteTarget{{Service: "s", Weight: 1}},
+	}}, Services: []core.ServiceSpec{{Service: "s"}}})
+	gateway, closeGateway := New(Options{Table: table, Dialect: testDialect{}, Repeats: retry.Limits{Ratio: 10, Window: 10 * time.Second}, Logger: log.New(io.Discard)})
+	defer closeGateway()
+	request := httptest.NewRequest(http.MethodPost, "http://h.example/p/a", strings.NewReader("body"))
+	request.Header.Set("Id", "r1")
+	gateway.ServeHTTP(slowReader{httptest.NewRecorder()}, request)
+	gateway.waiting.lock.Lock()
+	defer gateway.waiting.lock.Unlock()
+	if service := gateway.waiting.services["s"]; service == nil || service.afterFirst == 0 || time.Duration(service.afterFirst) >= 150*time.Millisecond {
+		t.Fatalf("the time after the first event was learned as %+v", service)
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,11 +81,13 @@
 		copyEndToEnd(call.writer.Header(), response.Header)
 		call.writer.WriteHeader(response.StatusCode)
 	}
+	began := time.Now()
 	if _, err := call.writer.Write(whole); err != nil {
 		return false
 	}
 	if call.events == 0 && count > 0 {
-		call.firstEventAt = time.Now()
+		began = time.Now()
+		call.firstEventAt = began
 		attempt.noteBeginning()
 	}
 	if attempt.events == 0 && count > 0 {
@@ -98,6 +100,9 @@
 	}
 	attempt.events += count
 	err := http.NewResponseController(call.writer).Flush()
+	if !call.firstEventAt.IsZero() {
+		call.writing += time.Since(began)
+	}
 	if count > 0 {
 		attempt.observeEvents(count)
 	}
