Even out reported requests by the slots that may be used

Cause: An upstream in its start phase was given as many of the reported requests as the others. While the service was overloaded, its load seemed to be 2.33 with no request and 1.17 at the others, so it got none until its share had grown with time. Change: Discount takes the open slots as weights. Result: TestDiscountOpen and TestReportBesideStart pass; both fail without their part of the change. With all slots open the result is as before.

--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -99,7 +99,7 @@
 		}
 		candidates := make([]selection.Candidate, len(upstreams))
 		for i, known := range upstreams {
-			candidates[i] = selection.Candidate{Running: known.running, Others: known.reportedRunning, Slots: known.instance.Slots}
+			candidates[i] = selection.Candidate{Running: known.running, Others: known.reportedRunning, Slots: known.instance.Slots, Open: known.open}
 		}
 		table.evenings++
 		if selection.Discount(candidates, upstreams[0].service, math.Phi*float64(table.evenings)) {
--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -83,3 +83,22 @@
 		t.Errorf("the one that does not answer was chosen %d times of 30", chosen)
 	}
 }
+
+// TestReportBesideStart guards against an upstream in its start phase that is given as many of the
+// reported requests as the others, and so gets no work while they are overloaded.
+func TestReportBesideStart(t *testing.T) {
+	table := NewTable("z")
+	table.SetRoutes(core.RouteTable{Number: 1, Services: []core.ServiceSpec{{Service: "s"}}})
+	result := &wire.UsageResult{}
+	for _, id := range []core.UpstreamID{"u0", "u1", "u2"} {
+		table.SetInstance(0, core.Instance{Upstream: id, Born: 1, Sequence: 1, Service: "s", Zone: "z", Address: string(id), Slots: 6})
+		table.upstreams[id].service = 30 * time.Millisecond
+		result.Upstreams = append(result.Upstreams, &wire.UpstreamUse{Upstream: string(id), Running: 10})
+	}
+	result.Upstreams[2].Running = 0
+	table.upstreams["u2"].open = 0.5
+	table.setOtherRunning("z", result)
+	if start, other := table.pacedCandidate(table.upstreams["u2"]).Load(), table.pacedCandidate(table.upstreams["u0"]).Load(); start > other+1/3.0 {
+		t.Fatalf("the load in the start phase is %.2f, and %.2f at the others", start, other)
+	}
+}
--- a/pkg/policy/selection/choose.go
+++ b/pkg/policy/selection/choose.go
@@ -49,7 +49,7 @@
 // Load returns the requests at the candidate with one more, divided by the slots that may be
 // used. Up to 1 the request finds a free slot.
 func (candidate Candidate) Load() float64 {
-	return candidate.requests() / (candidate.slots() * orOne(candidate.Open))
+	return candidate.requests() / candidate.openSlots()
 }
 
 // requests returns the number of requests with one more.
--- a/pkg/policy/selection/stale.go
+++ b/pkg/policy/selection/stale.go
@@ -31,13 +31,14 @@
 		return true
 	}
 	keep := math.Exp(-float64(reportDelay) / float64(hold))
-	mean := float64(others) / float64(slots)
+	mean, open := float64(others)/float64(slots), 0.0
 	for _, candidate := range candidates {
 		others -= candidate.stuck(hold, mean)
+		open += candidate.openSlots()
 	}
 	for i := range candidates {
 		candidate := &candidates[i]
-		even := float64(others) * candidate.slots() / float64(slots)
+		even := float64(others) * candidate.openSlots() / open
 		_, rounding := math.Modf(math.Abs(phase) + math.Phi*float64(i))
 		stuck := candidate.stuck(hold, mean)
 		candidate.Others = stuck + int(even+keep*(float64(candidate.Others-stuck)-even)+rounding)
@@ -45,6 +46,9 @@
 	return true
 }
 
+// openSlots returns the number of slots that may be used.
+func (candidate Candidate) openSlots() float64 { return candidate.slots() * orOne(candidate.Open) }
+
 // stuckRatio is the number of reported requests by slot relative to the mean from which some of them
 // may be stuck. Numbers that differ less result from the delay of the reports.
 const stuckRatio = 1.5
--- a/pkg/policy/selection/stale_test.go
+++ b/pkg/policy/selection/stale_test.go
@@ -56,3 +56,13 @@
 		t.Fatalf("requests of 10 s are evened out: %v", long)
 	}
 }
+
+// TestDiscountOpen guards against an upstream in its start phase that gets no work while the others are
+// overloaded: as many requests as at the others seem to be at its few open slots.
+func TestDiscountOpen(t *testing.T) {
+	candidates := []Candidate{{Others: 10, Slots: 6}, {Others: 10, Slots: 6}, {Slots: 6, Open: 0.5}}
+	Discount(candidates, 30*time.Millisecond, 0)
+	if start, other := candidates[2].Load(), candidates[0].Load(); start > other+1/(0.5*6) {
+		t.Fatalf("the load in the start phase is %.2f, and %.2f at the others", start, other)
+	}
+}
