--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -18,6 +18,21 @@
 	"time"
 )
 
+// layout is the size of a deployment.
+type layout struct {
+	zones, controlsPerZone, frontsPerZone int
+	// tolerate is the number of machines with a disk that may be lost at once.
+	tolerate int
+	// spare is set if there is one more control machine in the first zone, which is started later.
+	spare bool
+}
+
+// firstSite is the layout of the core of a first site, and grownSite that of a grown one.
+var (
+	firstSite = layout{zones: 3, controlsPerZone: 1, frontsPerZone: 1, tolerate: 1}
+	grownSite = layout{zones: 4, controlsPerZone: 2, frontsPerZone: 0, tolerate: 2, spare: true}
+)
+
 // The figures of the settings file that the product gets, those of a first site.
 const (
 	zoneCount      = 3
@@ -39,15 +54,21 @@
 	control        bool
 	deployment     *deployment
 
-	lock  sync.Mutex
-	pid   int
+	// late is set if the machine was not part of the first start.
+	late bool
+
+	lock    sync.Mutex
+	process *os.Process
+	// held is set while the platform does not start the process.
+	held  bool
 	ends  int
 	limit int64 // the memory in bytes above which the platform kills the process
 	peak  int64
 }
 
-// deployment is three control machines and three entry machines in three zones.
+// deployment is the machines of a layout.
 type deployment struct {
+	layout               layout
 	node, folder, prefix string
 	record               *record
 	ports                map[string]int
@@ -58,20 +79,22 @@
 	used                 int
 }
 
-func newDeployment(node, folder string, record *record) (*deployment, error) {
+func newDeployment(node, folder string, layout layout, record *record) (*deployment, error) {
 	path, err := exec.LookPath(node)
 	if err != nil {
 		return nil, fmt.Errorf("find the program: %w", err)
 	}
 	pid := os.Getpid()
-	deployment := &deployment{node: path, folder: folder, record: record, prefix: fmt.Sprintf("127.%d.%d.", 64+pid>>8&63, pid&255), ports: make(map[string]int)}
-	for _, control := range []bool{true, false} {
-		for zone := range zoneCount {
-			name := map[bool]string{true: "core", false: "front"}[control]
-			deployment.machines = append(deployment.machines, &machine{
-				name: fmt.Sprintf("%s-%s", name, zoneName(zone)), ip: deployment.nextIP(), zone: zoneName(zone), control: control, deployment: deployment,
-			})
-		}
+	deployment := &deployment{layout: layout, node: path, folder: folder, record: record, prefix: fmt.Sprintf("127.%d.%d.", 64+pid>>8&63, pid&255), ports: make(map[string]int)}
+	for number := range layout.zones * layout.controlsPerZone {
+		deployment.add("core", number, true)
+	}
+	if layout.spare {
+		spare := deployment.add("core", layout.zones*layout.controlsPerZone, true)
+		spare.name, spare.late, spare.held = "core-spare", true, true
+	}
+	for number := range layout.zones * layout.frontsPerZone {
+		deployment.add("front", number, false)
 	}
 	if err := deployment.choosePorts(); err != nil {
 		return nil, err
@@ -83,6 +106,14 @@
 	return deployment, nil
 }
 
+// add adds a machine. The zones take turns.
+func (deployment *deployment) add(class string, number int, control bool) *machine {
+	zone := zoneName(number % deployment.layout.zones)
+	machine := &machine{name: fmt.Sprintf("%s-%s-%d", class, zone, number/deployment.layout.zones+1), ip: deployment.nextIP(), zone: zone, control: control, deployment: deployment}
+	deployment.machines = append(deployment.machines, machine)
+	return machine
+}
+
 func zoneName(zone int) string { return "zone-" + string(rune('a'+zone)) }
 
 func (deployment *deployment) nextIP() string {
@@ -139,15 +170,15 @@
 func (machine *machine) settings(first bool) ([]byte, error) {
 	deployment := machine.deployment
 	zones := make(map[string]string)
-	for zone := range zoneCount {
+	for zone := range deployment.layout.zones {
 		zones[zoneName(zone)] = "region"
 	}
 	settings := object{
 		"node": machine.name, "ip": machine.ip, "zone": machine.zone, "region": "region", "zones": zones,
 		"inner_ports": []int{deployment.ports["inner"], deployment.ports["inner"] + innerPorts - 1},
-		"seeds":       deployment.controls(), "bootstrap": first, "discovery": "registry", "entry": "vip", "heartbeat_ms": heartbeat.Milliseconds(),
+		"seeds":       deployment.controls()[:3], "bootstrap": first, "discovery": "registry", "entry": "vip", "heartbeat_ms": heartbeat.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"}, "config_mode": "highest",
-		"tolerate": object{"machines": 1, "zones": 1, "regions": 0},
+		"tolerate": object{"machines": deployment.layout.tolerate, "zones": 1, "regions": 0},
 		"bounds": object{
 			"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000, "catch_up_s": 4, "drain_ms": drainTime.Milliseconds(), "grace_s": 8,
 			"loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000, "budget_ratio": 0.2, "budget_window_s": 10,
@@ -170,14 +201,58 @@
 // supervise runs the process of a machine until the deployment is closed.
 func (machine *machine) supervise() {
 	deployment := machine.deployment
-	for first := true; deployment.ctx.Err() == nil; first = false {
+	for first := !machine.late; deployment.ctx.Err() == nil; {
+		machine.lock.Lock()
+		held := machine.held
+		machine.lock.Unlock()
+		if held {
+			sleep(deployment.ctx, 20*time.Millisecond)
+			continue
+		}
 		if err := machine.runOnce(first); err != nil && deployment.ctx.Err() == nil {
 			deployment.record.write("%s ended: %v", machine.name, err)
 		}
+		first = false
 		sleep(deployment.ctx, restartDelay)
 	}
 }
 
+// hold sets whether the platform leaves the machine without its process, and ends a running one
+// as a loss of power does.
+func (machine *machine) hold(held bool) {
+	machine.lock.Lock()
+	defer machine.lock.Unlock()
+	machine.held = held
+	if held && machine.process != nil {
+		_ = machine.process.Kill()
+	}
+}
+
+// loseDisk ends the process and starts it again with an empty disk after some time.
+func (machine *machine) loseDisk(down time.Duration) error {
+	machine.hold(true)
+	machine.deployment.record.write("%s loses its disk", machine.name)
+	for machine.runs() {
+		sleep(machine.deployment.ctx, 5*time.Millisecond)
+	}
+	if err := os.RemoveAll(machine.disk()); err != nil {
+		return fmt.Errorf("%w: %w", errNotPlayed, err)
+	}
+	sleep(machine.deployment.ctx, down)
+	machine.hold(false)
+	return nil
+}
+
+func (machine *machine) runs() bool {
+	machine.lock.Lock()
+	defer machine.lock.Unlock()
+	return machine.process != nil
+}
+
+func (machine *machine) disk() string {
+	return filepath.Join(machine.deployment.folder, "disk-"+machine.name)
+}
+
 func (machine *machine) runOnce(first bool) error {
 	deployment := machine.deployment
 	content, err := machine.settings(first)
@@ -185,7 +260,7 @@
 		return err
 	}
 	if machine.control {
-		if err := os.MkdirAll(filepath.Join(deployment.folder, "disk-"+machine.name), 0o755); err != nil {
+		if err := os.MkdirAll(machine.disk(), 0o755); err != nil {
 			return err
 		}
 	}
@@ -206,18 +281,28 @@
 	if err := command.Start(); err != nil {
 		return err
 	}
+	machine.setProcess(command.Process)
 	ended := make(chan struct{})
 	stop := context.AfterFunc(deployment.ctx, func() { _ = command.Process.Kill() })
 	defer stop()
 	go machine.watchMemory(command.Process, ended)
 	err = command.Wait()
 	close(ended)
-	if deployment.ctx.Err() == nil {
-		machine.lock.Lock()
+	machine.setProcess(nil)
+	return err
+}
+
+// setProcess notes the start of a process, or with nil its end.
+func (machine *machine) setProcess(process *os.Process) {
+	machine.lock.Lock()
+	defer machine.lock.Unlock()
+	machine.process = process
+	if process == nil && !machine.held && machine.deployment.ctx.Err() == nil {
 		machine.ends++
-		machine.lock.Unlock()
 	}
-	return err
+	if process != nil && machine.held {
+		_ = process.Kill()
+	}
 }
 
 // watchMemory kills a process that uses more memory than its machine has, like the platform.
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,10 +28,17 @@
 	folder := flag.String("folder", "", "an empty folder for settings, logs and disks")
 	record := flag.String("record", "", "the file for what was sent, answered and run")
 	flag.Parse()
-	cases := map[string]func(*deployment, bool) (bool, error){"limit": playLimit, "memory": playMemory, "path": playPath}
-	play, ok := cases[flag.Arg(0)]
+	type scenario struct {
+		layout layout
+		play   func(*deployment, bool) (bool, error)
+	}
+	cases := map[string]scenario{
+		"limit": {firstSite, playLimit}, "memory": {firstSite, playMemory}, "path": {firstSite, playPath}, "replace": {grownSite, playReplace},
+		"order": {firstSite, playOrder},
+	}
+	chosen, ok := cases[flag.Arg(0)]
 	if !ok || *node == "" || *folder == "" || *record == "" {
-		fmt.Fprintln(os.Stderr, "usage: review-2 -node PROGRAM -folder FOLDER -record FILE limit|memory|path")
+		fmt.Fprintln(os.Stderr, "usage: review-2 -node PROGRAM -folder FOLDER -record FILE limit|memory|path|replace|order")
 		return codeFailed
 	}
 	log, err := newRecord(*record)
@@ -42,13 +49,13 @@
 	defer log.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.write("case %s, disruption %t", flag.Arg(0), trouble)
-	deployment, err := newDeployment(*node, *folder, log)
+	deployment, err := newDeployment(*node, *folder, chosen.layout, log)
 	if err != nil {
 		log.write("not played: %v", err)
 		return codeFailed
 	}
 	defer deployment.close()
-	broken, err := play(deployment, trouble)
+	broken, err := chosen.play(deployment, trouble)
 	switch {
 	case err != nil:
 		log.write("not played: %v", err)
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -16,6 +16,11 @@
 	id, service, zone string
 	address           string
 	born              int64
+	// version is the version of its software, and slots the requests that it runs at once.
+	version string
+	slots   int
+	// streamer answers the requests if it is set.
+	streamer *streamer
 	// serverLimit is the requests a second that it says it takes, empty if it is not in need.
 	serverLimit string
 
@@ -34,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotPlayed, err)
 	}
-	worker := &worker{deployment: deployment, id: id, service: service, zone: zone, address: listener.Addr().String(), born: time.Now().UnixMilli(), serverLimit: serverLimit}
+	worker := &worker{deployment: deployment, id: id, service: service, zone: zone, version: "v1", slots: 6, address: listener.Addr().String(), born: time.Now().UnixMilli(), serverLimit: serverLimit}
 	server := &http.Server{Handler: worker, IdleTimeout: 15 * time.Second}
 	deployment.running.Go(func() { _ = server.Serve(listener) })
 	context.AfterFunc(deployment.ctx, func() { server.Close() })
@@ -68,8 +73,12 @@
 		return
 	}
 	worker.note(arrived, id, request.RequestURI)
-	time.Sleep(workTime)
 	header.Set("X-Dandelionring-Response-Signature", worker.id+"."+id)
+	if worker.streamer != nil {
+		worker.streamer.answer(worker, writer, request)
+		return
+	}
+	time.Sleep(workTime)
 	_, _ = writer.Write([]byte("done by " + worker.id))
 }
 
@@ -77,7 +86,7 @@
 	worker.lock.Lock()
 	defer worker.lock.Unlock()
 	worker.ran++
-	worker.deployment.record.write("worker %s runs request %s, %s", worker.id, id, path)
+	worker.deployment.record.write("worker %s of version %s gets request %s, %s", worker.id, worker.version, id, path)
 	if after := arrived.Sub(worker.leavingAcked); !worker.leavingAcked.IsZero() && after > drainTime {
 		worker.late = append(worker.late, fmt.Sprintf("request %s reached worker %s %d ms after the acknowledgement that it leaves (drain_ms %d)", id, worker.id, after.Milliseconds(), drainTime.Milliseconds()))
 	}
@@ -119,7 +128,7 @@
 	state := map[bool]string{true: "draining", false: "ready"}[worker.draining]
 	leaving := worker.draining
 	body, err := json.Marshal(object{
-		"service": worker.service, "address": worker.address, "zone": worker.zone, "version": "v1", "slots": 6, "state": state,
+		"service": worker.service, "address": worker.address, "zone": worker.zone, "version": worker.version, "slots": worker.slots, "state": state,
 		"cold_remaining_ms": 0, "seq": worker.sequence, "born": worker.born,
 	})
 	first := worker.sequence
