--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -34,11 +34,11 @@
 	}
 	cases := map[string]scenario{
 		"limit": {firstSite, playLimit}, "memory": {firstSite, playMemory}, "path": {firstSite, playPath}, "replace": {grownSite, playReplace},
-		"order": {firstSite, playOrder},
+		"order": {firstSite, playOrder}, "brittle": {firstSite, playBrittle},
 	}
 	chosen, ok := cases[flag.Arg(0)]
 	if !ok || *node == "" || *folder == "" || *record == "" {
-		fmt.Fprintln(os.Stderr, "usage: review-2 -node PROGRAM -folder FOLDER -record FILE limit|memory|path|replace|order")
+		fmt.Fprintln(os.Stderr, "usage: review-2 -node PROGRAM -folder FOLDER -record FILE limit|memory|path|replace|order|brittle")
 		return codeFailed
 	}
 	log, err := newRecord(*record)
