Record a change of a stream's software version at a majority

Callers saw: a stream that was reset before its first event went on at an upstream of another software version; after the entry VM was killed, callers took it up elsewhere and it continued at the first version.

Cause: a send to another version waited 25 ms for its audit record and went ahead without it. The record stayed behind a batch that waited for a control VM that stood still, and was lost with the entry VM. A question about the origin took the last send that any control VM knew for the last one made.

Change: such a send begins only after a majority of the control VMs has synced its record, which goes to all of them at once. A question about an origin needs the answers of a majority that has lost no records, so the two have a VM in common. A free upstream of the earlier version comes first. The version is handed over with a stream; what another VM may have sent needs the majority. The group is what any control VM lists, so a list from right after a start makes no majority of one.

Tests: testdata/origins of the gateway and testdata/handovers failed before (the send was recorded with wait=25ms or not waited for, and sent without a majority). testdata/origins of fleet has other answers on purpose: with one of two control VMs silent, a send that was found may not be the last one, so that script has three VMs now, and new ones show the refusals. In the script "A stream that began on this VM" the first version has one upstream, as a second one would now be chosen for the second send; the version still changes before the first event.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -172,7 +172,7 @@
 // record with the outcome not_run.
 func (auditor *Auditor) Start(ctx context.Context, record audit.Record) error {
 	accepted := make(chan struct{})
-	if err := auditor.enqueueStart(record, accepted); err != nil {
+	if _, err := auditor.enqueueStart(record, accepted); err != nil {
 		return err
 	}
 	select {
@@ -207,10 +207,11 @@
 // must not begin.
 func (auditor *Auditor) StartWithin(ctx context.Context, record audit.Record, limit time.Duration) error {
 	if limit <= 0 {
-		return auditor.enqueueStart(record, nil)
+		_, err := auditor.enqueueStart(record, nil)
+		return err
 	}
 	accepted := make(chan struct{})
-	if err := auditor.enqueueStart(record, accepted); err != nil {
+	if _, err := auditor.enqueueStart(record, accepted); err != nil {
 		return err
 	}
 	timer := time.NewTimer(limit)
@@ -224,19 +225,19 @@
 	return nil
 }
 
-func (auditor *Auditor) enqueueStart(record audit.Record, accepted chan struct{}) error {
+// enqueueStart numbers and queues a start record and returns it with its number.
+func (auditor *Auditor) enqueueStart(record audit.Record, accepted chan struct{}) (audit.Record, error) {
 	auditor.mutex.Lock()
 	defer auditor.mutex.Unlock()
 	if auditor.closed {
-		return ErrClosed
+		return record, ErrClosed
 	}
 	if len(auditor.queue)+auditor.openStarts+2 > auditor.options.Queue {
 		refusedTotal.Inc()
-		return ErrFull
+		return record, ErrFull
 	}
 	auditor.openStarts++
-	auditor.enqueue(record, accepted)
-	return nil
+	return auditor.enqueue(record, accepted), nil
 }
 
 // endNotRun queues the end record for a start whose caller stopped waiting.
@@ -272,8 +273,9 @@
 	auditor.enqueue(record, nil)
 }
 
-// enqueue numbers the record and appends it to the queue. The caller holds the mutex.
-func (auditor *Auditor) enqueue(record audit.Record, accepted chan struct{}) {
+// enqueue numbers the record, appends it to the queue and returns it with its number. The caller
+// holds the mutex.
+func (auditor *Auditor) enqueue(record audit.Record, accepted chan struct{}) audit.Record {
 	auditor.sequence++
 	record.VM, record.Incarnation, record.Sequence = auditor.options.Self.VM, auditor.options.Incarnation, auditor.sequence
 	auditor.queue = append(auditor.queue, &pendingRecord{record: record, accepted: accepted})
@@ -282,6 +284,7 @@
 	if accepted != nil {
 		wake(auditor.startWaiting)
 	}
+	return record
 }
 
 // wake puts a token into a channel of capacity 1 unless it already holds one.
--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -141,6 +141,20 @@
 	return fmt.Sprintf("%s: begun after %v\n", request, time.Since(began))
 }
 
+// majority calls StartOnMajority with the given limit.
+func (deployment *deployment) majority(vm core.VMID, request, limit string) string {
+	span, err := time.ParseDuration(limit)
+	if err != nil {
+		return err.Error()
+	}
+	began := time.Now()
+	err = deployment.vms[vm].StartOnMajority(context.Background(), audit.Record{Event: audit.EventStart, Request: core.RequestID(request)}, span)
+	if err != nil {
+		return fmt.Sprintf("%s: %v after %v\n", request, err, time.Since(began))
+	}
+	return fmt.Sprintf("%s: on a majority after %v\n", request, time.Since(began))
+}
+
 // show lists the records on every disk.
 func (deployment *deployment) show(t *testing.T) string {
 	var text strings.Builder
@@ -204,6 +218,8 @@
 		deployment.open()
 	case "begin":
 		return deployment.begin(vm, words[2], words[3])
+	case "majority":
+		return deployment.majority(vm, words[2], words[3])
 	case "members":
 		var members []Member
 		for _, member := range deployment.members {
@@ -241,7 +257,8 @@
 }
 
 // TestScenarios guards against a Start that returns before its record is on a disk or
-// buffered, against records that are lost or lack a second copy when disks fail or zones
+// buffered, against a StartOnMajority that returns before a majority has it or that waits for a VM
+// which stands still, against records that are lost or lack a second copy when disks fail or zones
 // are unreachable, and against requests that wait for VMs that are known not to respond.
 // Scenarios are read from testdata/scenarios and run in virtual time.
 func TestScenarios(t *testing.T) {
--- a/internal/auditor/delivery.go
+++ b/internal/auditor/delivery.go
@@ -150,7 +150,9 @@
 }
 
 func (auditor *Auditor) sendTo(member Member, batch []*pendingRecord, secondCopy bool) bool {
-	err := auditor.storeOn(member, batch, secondCopy)
+	ctx, cancel := context.WithTimeout(auditor.ctx, callTimeout)
+	defer cancel()
+	err := auditor.storeOn(ctx, member, batch, secondCopy)
 	if err != nil && auditor.ctx.Err() == nil {
 		auditor.markFailed(member.VM, err)
 	}
@@ -158,11 +160,11 @@
 }
 
 // storeOn writes a batch to the disk of a member. It returns nil if the batch is synced.
-func (auditor *Auditor) storeOn(member Member, batch []*pendingRecord, secondCopy bool) error {
+func (auditor *Auditor) storeOn(ctx context.Context, member Member, batch []*pendingRecord, secondCopy bool) error {
 	if member.VM == auditor.options.Self.VM {
 		return auditor.appendLocal(batch)
 	}
-	durable, err := auditor.sendBatch(member.VM, batch, secondCopy)
+	durable, err := auditor.callBatch(ctx, member.VM, batch, secondCopy)
 	if err == nil && !durable {
 		err = errors.New("the VM has no disk")
 	}
@@ -180,12 +182,17 @@
 	return auditor.options.Store.Append(auditor.ctx, payloads...)
 }
 
-// sendBatch sends a batch to another VM and returns whether that VM has synced it on its
-// disk. It returns an error if the VM did not respond within callTimeout or did not accept
-// the batch.
+// sendBatch sends a batch to another VM like callBatch, and waits for at most callTimeout.
 func (auditor *Auditor) sendBatch(vm core.VMID, batch []*pendingRecord, secondCopy bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(auditor.ctx, callTimeout)
 	defer cancel()
+	return auditor.callBatch(ctx, vm, batch, secondCopy)
+}
+
+// callBatch sends a batch to another VM and returns whether that VM has synced it on its
+// disk. It returns an error if the VM did not respond before the context ended or did not
+// accept the batch.
+func (auditor *Auditor) callBatch(ctx context.Context, vm core.VMID, batch []*pendingRecord, secondCopy bool) (bool, error) {
 	response, err := auditor.options.Caller.Call(ctx, vm, batchRequest(batch, secondCopy))
 	if err != nil {
 		return false, errors.Wrap(err, "send audit records")
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -41,6 +41,8 @@
 	// known, by request.
 	waiting map[core.RequestID][]chan struct{}
 	waiters int
+	// restored is set once the records on the disk of this VM are in the table.
+	restored bool
 }
 
 // statesOrigin reports whether an audit record may state the origin of a stream.
@@ -151,12 +153,21 @@
 		from, found, waited = control.origins.await(ctx, core.RequestID(query.GetRequest()), wait)
 	}
 	originCounts.Inc(strconv.FormatBool(found), strconv.FormatBool(waited))
-	if found {
-		return peer.OriginMessage(from)
-	}
+	restored := control.origins.isRestored()
+	now := clock.Now()
 	control.lock.Lock()
 	defer control.lock.Unlock()
-	return &wire.OriginResult{Sole: string(control.versions.Sole(clock.Now(), core.ServiceID(query.GetService())))}
+	return peer.OriginMessage(origin.Answer{
+		Found: found, Origin: from, Sole: control.versions.Sole(now, core.ServiceID(query.GetService())),
+		Complete: restored && control.versions.Complete(now),
+	})
+}
+
+// isRestored reports whether the records on the disk of this VM are in the table.
+func (origins *origins) isRestored() bool {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	return origins.restored
 }
 
 // restore adds the origins in the newest audit files of a folder, so that streams can be
@@ -172,5 +183,8 @@
 		origins.add(clock.Now(), record)
 		count++
 	}
+	origins.lock.Lock()
+	origins.restored = true
+	origins.lock.Unlock()
 	logger.Info("The origins of streams were read from the audit log.", "records", count)
 }
--- a/internal/control/origin_test.go
+++ b/internal/control/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
 	"testing"
 	"testing/synctest"
@@ -183,3 +184,42 @@
 	announce(empty, "1", "v1")
 	is.Equal(sole(empty), "") // it cannot know what served before
 }
+
+// TestCompleteOrigins guards against a control VM that counts to the majority which shows the last
+// send of a stream although it has lost records, or has not read them yet.
+func TestCompleteOrigins(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	start := func(first bool, name string, upstreams bool) *Control {
+		file := filepath.Join(folder, name+".json")
+		if upstreams {
+			is.NoErr(os.WriteFile(file, []byte("[]"), 0o600))
+		}
+		control := New(Options{VM: "c", Zone: "z", FirstStart: first, RecallFile: file, AnnounceInterval: time.Second, Logger: log.New(io.Discard)}, NewPeers(Peer{VM: "c", Zone: "z"}))
+		control.beginHistory()
+		return control
+	}
+	complete := func(control *Control) bool {
+		return control.answerOriginQuery(t.Context(), &wire.OriginQuery{Service: "s", Request: "r"}).GetComplete()
+	}
+	records := filepath.Join(folder, "audit")
+	_, closeWriter, err := audit.Open(records, audit.Options{VM: "c"})
+	is.NoErr(err)
+	defer closeWriter()
+	for _, test := range []struct {
+		first, upstreams, complete bool
+	}{
+		{first: true, complete: true},
+		{upstreams: true, complete: true}, // the disk is that of the last start
+		{},                                // the disk is empty
+	} {
+		control := start(test.first, fmt.Sprint(test), test.upstreams)
+		is.True(!complete(control)) // the records are not read yet
+		control.origins.restore(records, log.New(io.Discard))
+		is.Equal(complete(control), test.complete)
+	}
+	unreadable := start(true, "unreadable", false)
+	is.NoErr(os.WriteFile(filepath.Join(records, "unreadable.audit"), nil, 0o600))
+	unreadable.origins.restore(records, log.New(io.Discard))
+	is.True(!complete(unreadable))
+}
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -52,7 +52,8 @@
 	// HandoverAddress is the address on which this VM takes over requests of other entry VMs,
 	// empty if it does not.
 	HandoverAddress string
-	// Controls is called with the control VMs after each change of them; it may be nil.
+	// Controls is called with the control VMs after each change of them, while the lock of the
+	// follower is held; it may be nil.
 	Controls func([]ControlVM)
 	Logger   *log.Logger
 }
@@ -76,8 +77,11 @@
 	originQueries atomic.Int32
 
 	// lock has position 2 in the lock order.
-	lock       sync.Mutex
-	watched    map[core.VMID]bool
+	lock    sync.Mutex
+	watched map[core.VMID]bool
+	// controls holds what the control VMs state of each other, and controlVMs those with which
+	// Options.Controls was called last.
+	controls   controlGroup
 	controlVMs []ControlVM
 	// admitAfter holds the time until which an owner that did not answer is not asked for a
 	// turn at an upstream with a limit.
@@ -99,9 +103,7 @@
 	follower.crashes.bans.VM = options.VM
 	follower.quotas.due = make(chan struct{}, 1)
 	options.Table.setVM(options.VM)
-	for _, seed := range options.Seeds {
-		follower.startWatch(seed)
-	}
+	follower.AddSeeds(options.Seeds)
 	follower.running.Go(follower.reportLoop)
 	follower.running.Go(follower.quotaLoop)
 	return follower, func() {
@@ -119,6 +121,9 @@
 
 // AddSeeds starts to watch further control VMs.
 func (follower *Follower) AddSeeds(seeds []core.VMID) {
+	follower.lock.Lock()
+	follower.controls.seed(clock.Now(), seeds)
+	follower.lock.Unlock()
 	for _, seed := range seeds {
 		follower.startWatch(seed)
 	}
@@ -160,6 +165,7 @@
 			follower.options.Logger.Warn("Lost a control VM.", "control", vm, "error", err)
 		}
 		connected = false
+		follower.endList(vm)
 		sleep(follower.ctx, watchRetryDelay)
 	}
 }
@@ -202,7 +208,7 @@
 	follower.applyLimits(event.GetLimits())
 	follower.applyVerdicts(vm, event.GetVerdicts())
 	if controls := event.GetControlVms(); len(controls) > 0 {
-		follower.setControlVMs(controls)
+		follower.setControlVMs(vm, controls)
 	}
 	if event.GetEntryVms() > 0 {
 		table.SetEntryVMs(int(event.GetEntryVms()))
@@ -229,22 +235,33 @@
 }
 
 // setControlVMs starts to watch the control VMs in a list that one of them has sent.
-func (follower *Follower) setControlVMs(messages []*wire.ControlVm) {
-	controlVMs := make([]ControlVM, 0, len(messages))
+func (follower *Follower) setControlVMs(source core.VMID, messages []*wire.ControlVm) {
+	listed := make([]ControlVM, 0, len(messages))
 	for _, message := range messages {
 		control := ControlVM{VM: core.VMID(message.GetVm()), Zone: core.ZoneID(message.GetZone())}
 		follower.startWatch(control.VM)
-		controlVMs = append(controlVMs, control)
+		listed = append(listed, control)
 	}
 	follower.lock.Lock()
-	same := slices.Equal(controlVMs, follower.controlVMs)
+	defer follower.lock.Unlock()
+	follower.controls.set(source, listed)
+	controlVMs := follower.controls.all(clock.Now())
+	if slices.Equal(controlVMs, follower.controlVMs) {
+		return
+	}
 	follower.controlVMs = controlVMs
-	follower.lock.Unlock()
-	if !same && follower.options.Controls != nil {
+	if follower.options.Controls != nil {
 		follower.options.Controls(controlVMs)
 	}
 }
 
+// endList notes that the watch of a control VM has ended.
+func (follower *Follower) endList(vm core.VMID) {
+	follower.lock.Lock()
+	defer follower.lock.Unlock()
+	follower.controls.end(clock.Now(), vm)
+}
+
 // startFetch fetches the route table in the background and retries until the table has at
 // least the number that a control VM has reported. The first table must be confirmed by a
 // majority: a partitioned control VM may hold an old one, and this VM may have served a
--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -14,18 +15,17 @@
 	// maxOriginQueries bounds the concurrent questions of one VM about the origins of streams,
 	// so that callers who name streams that never began do not take up the control VMs.
 	maxOriginQueries = 256
-	// originSettleTime is the time for which the other control VMs are waited for after one has
-	// answered: the records of two sends of a request may be on different ones.
-	originSettleTime = 20 * time.Millisecond
 	// originReplyMargin is the time that the answer of a control VM may take beyond its wait.
 	originReplyMargin = 50 * time.Millisecond
 )
 
 // FindOrigin asks all control VMs for the origin of the stream whose first event the answer to
-// a request brought, and returns the latest send that one of them knows. If none knows it within
-// the time wait, or the request is empty, the origin is the only software version that the service
-// had lately, as far as a majority of the control VMs knows. FindOrigin returns false if there
-// were several, or if too many other requests are asked about.
+// a request brought. A majority of them must say what they know now, which shows each send to
+// another software version. If none of them knows a send, the record of the only ones may be on
+// its way, and is waited for until the time wait has passed. If none knows one by then, or the
+// request is empty, the origin is the only software version that the service had lately, as far as
+// a majority of the control VMs knows. FindOrigin returns false if there were several, if too few
+// control VMs have answered, or if too many other requests are asked about.
 func (follower *Follower) FindOrigin(ctx context.Context, service core.ServiceID, request core.RequestID, wait time.Duration) (origin.Origin, bool) {
 	if follower.originQueries.Add(1) > maxOriginQueries {
 		follower.originQueries.Add(-1)
@@ -34,63 +34,79 @@
 	defer follower.originQueries.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, wait+originReplyMargin)
 	defer cancel()
-	asked := follower.followedVMs()
-	answers := make(chan *wire.OriginResult, len(asked))
-	for _, vm := range asked {
-		go func() { answers <- follower.askOrigin(ctx, vm, service, request, wait) }()
+	question := &originQuestion{follower: follower, service: service, request: request, asked: follower.controlIDs()}
+	if request == "" {
+		return orSole(origin.Origin{}, false, service, question.ask(ctx, 0, never))
 	}
-	var latest origin.Origin
-	found := false
-	var sole []core.SoftwareVersion
-	var settled <-chan time.Time
-	for range asked {
-		select {
-		case answer := <-answers:
-			from, ok := peer.OriginFromMessage(answer)
-			if !ok {
-				if answer != nil {
-					sole = append(sole, core.SoftwareVersion(answer.GetSole()))
-				}
-				continue
-			}
-			if !found {
-				timer := time.NewTimer(originSettleTime)
-				defer timer.Stop()
-				settled = timer.C
-			}
-			if !found || from.Newer(latest) {
-				latest, found = from, true
-			}
-		case <-settled:
-			return latest, found
-		case <-ctx.Done():
-			return orSole(latest, found, service, sole, len(asked))
-		}
+	started := time.Now()
+	now := question.ask(ctx, 0, (*origin.Survey).Settled)
+	if from, ok := now.Origin(); ok || !now.Settled() {
+		return orSole(from, ok, service, now)
 	}
-	return orSole(latest, found, service, sole, len(asked))
+	// All sends went to one version, so the first record that arrives states it.
+	later := question.ask(ctx, wait-time.Since(started), (*origin.Survey).Found)
+	from, ok := later.Latest()
+	return orSole(from, ok, service, later)
 }
 
+// never waits for the answers of all control VMs.
+func never(*origin.Survey) bool { return false }
+
 // orSole returns the origin that was found, or else the only version of the service that the
 // asked control VMs agree on.
-func orSole(latest origin.Origin, found bool, service core.ServiceID, sole []core.SoftwareVersion, asked int) (origin.Origin, bool) {
-	if found {
-		return latest, true
+func orSole(found origin.Origin, ok bool, service core.ServiceID, survey *origin.Survey) (origin.Origin, bool) {
+	if ok {
+		return found, true
 	}
-	software := origin.Agreed(sole, asked)
+	software := survey.Sole()
 	return origin.Origin{Service: service, Software: software}, software != ""
 }
 
-// followedVMs returns the control VMs that this VM follows.
-func (follower *Follower) followedVMs() []core.VMID {
+// controlIDs returns the control VMs.
+func (follower *Follower) controlIDs() []core.VMID {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	vms := make([]core.VMID, 0, len(follower.watched))
-	for vm := range follower.watched {
-		vms = append(vms, vm)
+	var vms []core.VMID
+	for _, control := range follower.controls.all(clock.Now()) {
+		vms = append(vms, control.VM)
 	}
 	return vms
 }
 
+// originQuestion is a question about one stream to the control VMs.
+type originQuestion struct {
+	follower *Follower
+	service  core.ServiceID
+	request  core.RequestID
+	asked    []core.VMID
+}
+
+// ask asks all control VMs, which wait for a record at most for the time wait, and returns their
+// answers once they are enough, all have answered, or the context has ended.
+func (question *originQuestion) ask(ctx context.Context, wait time.Duration, enough func(*origin.Survey) bool) *origin.Survey {
+	answers := make(chan *wire.OriginResult, len(question.asked))
+	for _, vm := range question.asked {
+		go func() {
+			answers <- question.follower.askOrigin(ctx, vm, question.service, question.request, wait)
+		}()
+	}
+	survey := &origin.Survey{Asked: len(question.asked)}
+	for range question.asked {
+		select {
+		case answer := <-answers:
+			if answer != nil {
+				survey.Add(peer.OriginFromMessage(answer))
+			}
+		case <-ctx.Done():
+			return survey
+		}
+		if enough(survey) {
+			break
+		}
+	}
+	return survey
+}
+
 // askOrigin asks one control VM for the origin of a stream. It returns nil if that does not
 // answer.
 func (follower *Follower) askOrigin(ctx context.Context, vm core.VMID, service core.ServiceID, request core.RequestID, wait time.Duration) *wire.OriginResult {
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -24,10 +24,10 @@
 type originReply struct {
 	delay  time.Duration
 	failed bool
-	found  bool
-	origin origin.Origin
-	// sole is the only version of the service that it knows.
-	sole core.SoftwareVersion
+	answer origin.Answer
+	// after is the time after which it has the record of the answer, and for which it waits if
+	// it is asked to.
+	after time.Duration
 }
 
 // askedControlVMs answer questions about the origins of streams.
@@ -38,19 +38,22 @@
 		return nil, errors.New("unexpected request in this test")
 	}
 	reply := controls[vm]
+	delay, answer := reply.delay, reply.answer
+	if wait := time.Duration(request.GetOriginQuery().GetWaitMillis()) * time.Millisecond; wait > 0 && reply.after < wait && answer.Found {
+		delay += reply.after
+	} else if reply.after > 0 || !answer.Found {
+		delay += wait
+		answer.Found, answer.Origin = false, origin.Origin{}
+	}
 	select {
-	case <-time.After(reply.delay):
+	case <-time.After(delay):
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
 	if reply.failed {
 		return nil, errors.New("the link is closed")
 	}
-	result := &wire.OriginResult{Sole: string(reply.sole)}
-	if reply.found {
-		result = peer.OriginMessage(reply.origin)
-	}
-	return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: result}}, nil
+	return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: peer.OriginMessage(answer)}}, nil
 }
 
 func (controls askedControlVMs) Stream(ctx context.Context, _ core.VMID, _ *wire.Request, _ func(*wire.Response) bool) error {
@@ -59,9 +62,10 @@
 }
 
 // TestOriginScripts guards against a stream that is continued at the version of an earlier send
-// of its request, against a wait for control VMs that do not answer although one knows the
-// origin, against an origin that only a slow control VM knows and that is not waited for, and against a
-// version that is taken for the only one although a control VM knows of another, or too few know.
+// of its request, as only a minority or VMs that have lost records know it; against a wait for
+// control VMs that do not answer although a majority does; against a record that is on its way and
+// is not waited for; and against a version that is taken for the only one although a control VM
+// knows of another, or too few know.
 func TestOriginScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/origins", func(t *testing.T, data *datadriven.TestData) string {
 		controls := make(askedControlVMs)
@@ -85,21 +89,25 @@
 }
 
 func parseReply(fields []string) originReply {
-	reply := originReply{origin: origin.Origin{Service: "s"}}
+	reply := originReply{answer: origin.Answer{Complete: true}}
 	for _, field := range fields {
 		name, value, _ := strings.Cut(field, "=")
 		number, _ := strconv.Atoi(value)
 		switch name {
 		case "delay":
 			reply.delay = time.Duration(number) * time.Millisecond
+		case "after":
+			reply.after = time.Duration(number) * time.Millisecond
 		case "sole":
-			reply.sole = core.SoftwareVersion(value)
+			reply.answer.Sole = core.SoftwareVersion(value)
 		case "failed":
 			reply.failed = true
+		case "incomplete":
+			reply.answer.Complete = false
 		case "software":
-			reply.found, reply.origin.Software = true, core.SoftwareVersion(value)
+			reply.answer.Found, reply.answer.Origin.Service, reply.answer.Origin.Software = true, "s", core.SoftwareVersion(value)
 		case "send":
-			reply.origin.Send = number
+			reply.answer.Origin.Send = number
 		}
 	}
 	return reply
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -41,6 +41,9 @@
 		Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Origin: call.origin(), Request: call.request.ID, Tokens: call.request.Tokens,
 		Prompt: call.request.Prompt, Objective: call.route.Objective,
 	}}
+	if selection, ok := turns.chooseSameSoftware(ctx); ok {
+		return selection, "", true
+	}
 	for range maxAdmissions {
 		selection, reason, ok := call.chooseUpstream(ctx, turns.query, true)
 		if !ok && reason != heldBack && len(turns.waits) == 0 {
@@ -73,6 +76,21 @@
 	return selection, reason, false
 }
 
+// chooseSameSoftware returns a free upstream with the software version of the send before.
+func (turns *turns) chooseSameSoftware(ctx context.Context) (fleet.Selection, bool) {
+	table := turns.call.gateway.options.Table
+	query, ok := turns.call.sameSoftware(turns.query)
+	if !ok || !table.HasSoftware(query) {
+		return fleet.Selection{}, false
+	}
+	selection, ok := table.Select(clock.Now(), query)
+	if ok && selection.Cost >= extraCopyCost {
+		table.Finish(selection)
+		return fleet.Selection{}, false
+	}
+	return selection, ok && turns.take(ctx, selection, 0)
+}
+
 // take takes a turn at the selected upstream within the given time. If there is none, it
 // gives the selection up, and the upstream is not selected again.
 func (turns *turns) take(ctx context.Context, selection fleet.Selection, wait time.Duration) bool {
--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/dandelionring/dandelionring/internal/fleet"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -16,7 +18,11 @@
 	// StartWithin stores the record of a start and waits at most limit until it is on a disk.
 	// After an error the request must not be sent.
 	StartWithin(ctx context.Context, record audit.Record, limit time.Duration) error
-	// End stores the record of the end of a send whose start StartWithin has accepted.
+	// StartOnMajority stores the record of a start and returns after it is on the disks of a
+	// majority of the VMs that have one, which takes at most limit. After an error the request
+	// must not be sent.
+	StartOnMajority(ctx context.Context, record audit.Record, limit time.Duration) error
+	// End stores the record of the end of a send whose start was accepted.
 	End(record audit.Record)
 }
 
@@ -26,28 +32,37 @@
 // and are written with the next batch.
 const startRecordTimeout = 25 * time.Millisecond
 
+// maxSoftwareRecordTimeout bounds the wait until the record of a send to another software version
+// is on a majority of the disks. It covers an election and a slow sync.
+const maxSoftwareRecordTimeout = time.Second
+
 // recordStart records the start of a send. It returns an error if the recorder did not
 // accept the record; the request must not be sent then.
 func (call *call) recordStart(ctx context.Context, selection fleet.Selection) error {
 	call.outcome, call.sentAt = 0, time.Now()
+	changed := call.changesSoftware(selection)
 	recorder := call.gateway.options.Recorder
 	if recorder == nil {
+		call.noteSoftware(selection.Software)
+		return nil
+	}
+	record := call.newRecord(audit.EventStart, selection)
+	if changed {
+		limit := min(maxSoftwareRecordTimeout, time.Until(call.deadline)/placementWaitDivisor)
+		err := recorder.StartOnMajority(ctx, record, limit)
+		softwareChanges.Inc(call.kind().String(), strconv.FormatBool(err == nil))
+		if err != nil {
+			return errors.Wrap(err, "record a send to another software version")
+		}
+		call.noteSoftware(selection.Software)
 		return nil
 	}
+	call.noteSoftware(selection.Software)
 	limit := time.Duration(0)
-	if call.route.Kind == core.NonIdempotent || call.changesSoftware(selection) {
+	if call.route.Kind == core.NonIdempotent {
 		limit = startRecordTimeout
 	}
-	return recorder.StartWithin(ctx, call.newRecord(audit.EventStart, selection), limit)
-}
-
-// changesSoftware reports whether the send of a stream goes to another software version than
-// one before it. Until the record of the send is on a disk, other VMs take the earlier one for
-// the origin of the stream.
-func (call *call) changesSoftware(selection fleet.Selection) bool {
-	before := call.sentSoftware
-	call.sentSoftware = selection.Software
-	return call.route.Kind == core.Stream && len(call.tried) > 1 && before != selection.Software
+	return recorder.StartWithin(ctx, record, limit)
 }
 
 // recordEnd records the outcome of a send. runsBefore is the value of counts.Runs before
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,7 +62,7 @@
 	// caller, also in answer to an earlier request, empty if there are none.
 	software core.SoftwareVersion
 	// sentSoftware is the version of the upstream of the last send.
-	sentSoftware core.SoftwareVersion
+	sentSoftware sentSoftware
 	// events is the number of events that were sent to the caller.
 	events int
 	// outcome is core.Ran once the last send has ended with a complete response, and 0
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -148,13 +148,14 @@
 	passing.conn = conn
 	passing.detach = context.AfterFunc(ctx, func() { conn.Close() })
 	defer passing.detach()
-	counted, paid := call.counts, call.paid
+	counted, paid, software := call.counts, call.paid, call.sentSoftware
 	head := passing.head(counted)
 	// Until the target says otherwise, it may have sent the request, and used what was paid.
 	call.paid = false
 	call.counts.Sends++
 	call.counts.Runs++
 	call.attemptsBefore += attemptsOfTarget
+	call.sentSoftware = sentSoftware{sent: true, elsewhere: true}
 	if _, err := conn.Send(head, call.body); err != nil {
 		pool.Drop(passing.key, conn)
 		return passing.lost(ctx, "not written", err)
@@ -165,7 +166,7 @@
 		return passing.lost(ctx, "no answer", err)
 	}
 	if response.Header.Get(declinedHeader) != "" {
-		call.counts, call.paid, call.attemptsBefore = counted, paid, call.attemptsBefore-attemptsOfTarget
+		call.counts, call.paid, call.attemptsBefore, call.sentSoftware = counted, paid, call.attemptsBefore-attemptsOfTarget, software
 		return passing.declined(response)
 	}
 	return passing.forward(ctx, response)
@@ -180,6 +181,7 @@
 	}
 	header := call.gateway.options.Dialect.HandoverHeaders(call.incoming.Header, time.Until(call.deadline)-handoverMargin, resume)
 	header[handoverHeader] = []string{fmt.Sprint(counts.Sends, counts.Runs, call.counted, call.paid, call.attemptNumber(), uint64(call.tableNumber))}
+	call.setHandoverSoftware(header)
 	if workspace := call.workspaceID(); workspace != "" {
 		header[handoverWorkspaceHeader] = []string{string(workspace)}
 	}
--- a/internal/gateway/handover_test.go
+++ b/internal/gateway/handover_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -26,7 +27,8 @@
 )
 
 // TestHandover guards against a request that runs twice, is refused although it may have run, or
-// is refused although another VM could send it, when its VM reaches no upstream.
+// is refused although another VM could send it, when its VM reaches no upstream; and against a
+// stream that another VM sends to another software version without a record that a majority has.
 func TestHandover(t *testing.T) {
 	datadriven.Walk(t, "testdata/handovers", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
@@ -68,6 +70,8 @@
 			}
 		case "ratio":
 			ratio, _ = strconv.ParseFloat(arg.Vals[0], 64)
+		case "software": // the version of the upstreams of the other VMs
+			upstreams.software = slices.Repeat(arg.Vals, 3)
 		case "hurries":
 			hurries = arg.Vals
 		case "targets":
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -13,6 +13,7 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	declinedHeader,          // an upstream does not decline for the VM that passes its answer on
 	handoverWorkspaceHeader, // a caller does not name its workspace itself
+	handoverSoftwareHeader,  // nor what other VMs have sent
 }
 
 // headSize returns the size in bytes of the HTTP/1.1 request line and headers of a
--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -220,20 +220,35 @@
 }
 
 // memoryRecorder is a recorder that keeps its records in memory. StartWithin fails while
-// full is set.
+// full is set, and StartOnMajority while noMajority is.
 type memoryRecorder struct {
-	lock  sync.Mutex // no other lock is acquired while it is held
-	full  bool
-	lines []string
+	lock       sync.Mutex // no other lock is acquired while it is held
+	full       bool
+	noMajority bool
+	lines      []string
 }
 
 func (recorder *memoryRecorder) StartWithin(_ context.Context, record audit.Record, limit time.Duration) error {
-	recorder.lock.Lock()
-	defer recorder.lock.Unlock()
 	if recorder.full {
 		return errors.New("too many audit records wait for a disk")
 	}
-	line := fmt.Sprintf("record: %s %s routes=%d %s/%s %s wait=%v", record.Event, record.Attempt, record.Config, record.Route, record.Service, record.Upstream, limit)
+	recorder.add(record, limit.String())
+	return nil
+}
+
+func (recorder *memoryRecorder) StartOnMajority(_ context.Context, record audit.Record, _ time.Duration) error {
+	if recorder.noMajority {
+		return errors.New("no majority")
+	}
+	recorder.add(record, "majority")
+	return nil
+}
+
+// add keeps the record of a start with what the gateway waits for.
+func (recorder *memoryRecorder) add(record audit.Record, wait string) {
+	recorder.lock.Lock()
+	defer recorder.lock.Unlock()
+	line := fmt.Sprintf("record: %s %s routes=%d %s/%s %s wait=%v", record.Event, record.Attempt, record.Config, record.Route, record.Service, record.Upstream, wait)
 	if record.Software != "" {
 		line += " software=" + string(record.Software)
 	}
@@ -241,7 +256,6 @@
 		line += " workspace=" + string(record.Workspace)
 	}
 	recorder.lines = append(recorder.lines, line)
-	return nil
 }
 
 func (recorder *memoryRecorder) End(record audit.Record) {
@@ -366,7 +380,8 @@
 			options.Logger = loggers.Logger("gateway")
 		case "records":
 			options.Recorder = records
-			records.full = len(arg.Vals) > 0 && arg.Vals[0] == "full"
+			records.full = slices.Contains(arg.Vals, "full")
+			records.noMajority = slices.Contains(arg.Vals, "no-majority")
 		case "ratio":
 			options.Repeats.Ratio, _ = strconv.ParseFloat(arg.Vals[0], 64)
 		case "extra":
--- a/internal/gateway/takeover.go
+++ b/internal/gateway/takeover.go
@@ -20,6 +20,7 @@
 		}
 		call.handedWorkspace = core.WorkspaceID(incoming.Header.Get(handoverWorkspaceHeader))
 		incoming.Header.Del(handoverHeader)
+		call.adoptSoftware(incoming.Header)
 		if gateway.options.Table.RoutesNumber() < number || gateway.stopping.announced() {
 			call.decline()
 			return
--- a/internal/peer/origin.go
+++ b/internal/peer/origin.go
@@ -6,15 +6,21 @@
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
-// OriginMessage returns the message with the origin of a stream.
-func OriginMessage(found origin.Origin) *wire.OriginResult {
-	return &wire.OriginResult{Found: true, Service: string(found.Service), Software: string(found.Software), Send: uint32(found.Send)}
+// OriginMessage returns the message with what a control VM knows of the origin of a stream.
+func OriginMessage(answer origin.Answer) *wire.OriginResult {
+	return &wire.OriginResult{
+		Found: answer.Found, Service: string(answer.Origin.Service), Software: string(answer.Origin.Software), Send: uint32(answer.Origin.Send),
+		Sole: string(answer.Sole), Complete: answer.Complete,
+	}
 }
 
-// OriginFromMessage returns the origin that a message carries, and false if it carries none. It
-// is the inverse of OriginMessage.
-func OriginFromMessage(message *wire.OriginResult) (origin.Origin, bool) {
-	return origin.Origin{
-		Service: core.ServiceID(message.GetService()), Software: core.SoftwareVersion(message.GetSoftware()), Send: int(message.GetSend()),
-	}, message.GetFound()
+// OriginFromMessage returns what a message says of the origin of a stream. It is the inverse of
+// OriginMessage.
+func OriginFromMessage(message *wire.OriginResult) origin.Answer {
+	return origin.Answer{
+		Found: message.GetFound(), Sole: core.SoftwareVersion(message.GetSole()), Complete: message.GetComplete(),
+		Origin: origin.Origin{
+			Service: core.ServiceID(message.GetService()), Software: core.SoftwareVersion(message.GetSoftware()), Send: int(message.GetSend()),
+		},
+	}
 }
--- a/pkg/policy/origin/history.go
+++ b/pkg/policy/origin/history.go
@@ -28,6 +28,9 @@
 // Start makes the history incomplete at a time, until it has listened for long enough.
 func (history *History) Start(now time.Duration) { history.CompleteFrom = now + memory }
 
+// Complete reports whether the history holds all announcements of the time that matters.
+func (history *History) Complete(now time.Duration) bool { return now >= history.CompleteFrom }
+
 // Note stores that an upstream of a service has announced a version. The empty one is a version
 // that is not known, and differs from every other one.
 func (history *History) Note(now time.Duration, service core.ServiceID, software core.SoftwareVersion) {
@@ -52,7 +55,7 @@
 // Sole returns the version of a service if upstreams announced no other one lately. It returns
 // an empty one if there were several or none, or if the history is not complete.
 func (history *History) Sole(now time.Duration, service core.ServiceID) core.SoftwareVersion {
-	if now < history.CompleteFrom {
+	if !history.Complete(now) {
 		return ""
 	}
 	var sole core.SoftwareVersion
