Sort the rows of a report in the test of pace

Cause: a report lists upstreams in the order of a map; TestPaceScripts/report expects one order, and failed once. Change: the test sorts the rows by upstream before it compares all of them.

--- a/internal/fleet/pace_test.go
+++ b/internal/fleet/pace_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -155,7 +157,8 @@
 	for _, median := range usage.GetMedians() {
 		fmt.Fprintf(&out, "median %s answer=%d pause=%d\n", median.GetService(), median.GetAnswerMicros(), median.GetPauseMicros())
 	}
-	for _, use := range usage.GetUpstreams() {
+	uses := slices.SortedFunc(slices.Values(usage.GetUpstreams()), func(a, b *wire.UpstreamUse) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	for _, use := range uses {
 		answers := use.GetAnswers()
 		fmt.Fprintf(&out, "%s running=%d count=%d/%d untimed=%d pauses=%d/%d rejections=%d failures=%d\n", use.GetUpstream(), use.GetRunning(),
 			answers.GetCount(), answers.GetTotalMicros(), answers.GetUntimed(), answers.GetPauses(), answers.GetPauseMicros(), answers.GetRejections(), answers.GetFailures())
