--- a/internal/gateway/audit.go
+++ b/internal/gateway/audit.go
@@ -33,8 +33,8 @@
 const startRecordTimeout = 25 * time.Millisecond
 
 // maxSoftwareRecordTimeout bounds the wait until the record of a send to another software version
-// is on a majority of the disks. It covers an election and a slow sync.
-const maxSoftwareRecordTimeout = time.Second
+// is on a majority of the disks. It covers a restart of the control VMs and a slow sync.
+const maxSoftwareRecordTimeout = 2 * time.Second
 
 // recordStart records the start of a send. It returns an error if the recorder did not
 // accept the record; the request must not be sent then.
