Send a slow batch of audit records to another VM as well

Callers saw: streams that were taken up after the loss of an entry VM were refused, as the records of their sends waited up to 1 s behind a batch for a control VM that stood still, and went with the entry VM.

Cause: batches are delivered one at a time, and each one waited for the timeout of the first VM before the others were tried.

Change: a batch that a VM has not answered after 100 ms goes to the next one too.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -45,6 +45,9 @@
 	// callTimeout is longer than a slow fsync and shorter than the deadline of most
 	// requests.
 	callTimeout = time.Second
+	// slowDelivery is the time after which a batch that a VM has not answered is sent to another
+	// one as well, as records of other requests wait behind it. A sync takes a few milliseconds.
+	slowDelivery = 100 * time.Millisecond
 	// retryInterval is the time between two probes of a VM that failed, and between two
 	// attempts to send second copies.
 	retryInterval = time.Second
