Look an upstream up again before a request is written

Cause: an entry VM chose the upstream, then waited for a turn there for up to a third of the caller's time, and sent without another look. The record of the send and the opening of a connection are such waits too.

Change: just before the first byte the upstream must still take requests, be the same process with the same software, and have the newest revision of the weights; else nothing is sent and the request chooses anew. Requests that wait for a turn are woken when the upstream leaves, has ended or changes its software, and are refused at once if no other one has room.

--- a/internal/fleet/handover.go
+++ b/internal/fleet/handover.go
@@ -65,5 +65,5 @@
 	if known == nil || !known.usable() {
 		return Selection{}, false
 	}
-	return Selection{Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone}, true
+	return Selection{Upstream: id, Born: known.instance.Born, Address: known.instance.Address, Zone: known.instance.Zone, Software: known.software()}, true
 }
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -149,7 +149,9 @@
 }
 
 // Admit takes a turn at an upstream that states a limit, and waits for it. If it does not
-// come within the given time, Admit takes none and returns false and the time until it. The
+// come within the given time, Admit takes none and returns false and the time until it. It also
+// returns false as soon as the upstream leaves, has ended or changes its software; the turn there is
+// lost then. The
 // owner of the zone grants the turns of all VMs. Without an owner, a VM takes its own share.
 func (follower *Follower) Admit(ctx context.Context, selected Selection, wait time.Duration) (time.Duration, bool) {
 	table := follower.options.Table
@@ -166,10 +168,22 @@
 		table.hold(selected, now+left)
 		return left, false
 	}
-	if left > 0 {
-		sleep(ctx, left)
+	return 0, left <= 0 || follower.awaitTurn(ctx, selected, left)
+}
+
+// awaitTurn waits until a turn at an upstream has come. It returns false at once if the upstream
+// leaves or has ended, or if the context ends.
+func (follower *Follower) awaitTurn(ctx context.Context, selected Selection, left time.Duration) bool {
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-follower.options.Table.departure(selected):
+		return false
+	case <-ctx.Done():
+		return false
 	}
-	return 0, ctx.Err() == nil
 }
 
 // askForTurn asks the owner of a zone for a turn. answered is not set if there is no owner
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -170,6 +170,9 @@
 	for position, instance := range members {
 		known := table.upstreams[instance.Upstream]
 		if known == nil || known.instance.Born != instance.Born {
+			if known != nil {
+				known.wakeWaiting()
+			}
 			known = &upstream{weights: announcedWeights(instance), inFlight: make(map[core.WeightKey]int)}
 			table.upstreams[instance.Upstream] = known
 		}
@@ -178,6 +181,9 @@
 		}
 		before := known.instance
 		known.instance = instance
+		if !known.usable() || before.Software != instance.Software {
+			known.wakeWaiting()
+		}
 		known.position = selection.Position(position)
 		table.setPaceState(now, known, before)
 		table.all = append(table.all, known)
@@ -189,6 +195,7 @@
 	}
 	for id := range table.upstreams {
 		if _, ok := table.members.Get(id); !ok {
+			table.upstreams[id].wakeWaiting()
 			table.servicePace(table.upstreams[id].instance.Service).tracker.Remove(id)
 			delete(table.upstreams, id)
 		}
@@ -583,6 +590,7 @@
 	defer table.lock.Unlock()
 	if known := table.upstreams[selected.Upstream]; known != nil && known.instance.Born == selected.Born {
 		known.ended, known.endedSequence = true, known.instance.Sequence
+		known.wakeWaiting()
 	}
 }
 
--- a/internal/fleet/upstream.go
+++ b/internal/fleet/upstream.go
@@ -51,6 +51,17 @@
 	service     time.Duration
 	// draw decides whether this VM may use the open slots until the next report.
 	draw float64
+	// departed is closed once the process leaves, has ended or changes its software. It is nil while
+	// nobody waits for that.
+	departed chan struct{}
+}
+
+// wakeWaiting wakes those who wait for their turn at the process.
+func (upstream *upstream) wakeWaiting() {
+	if upstream.departed != nil {
+		close(upstream.departed)
+		upstream.departed = nil
+	}
 }
 
 // failureShare is the share of recent requests that failed, as an exponential moving
--- a/internal/gateway/admit.go
+++ b/internal/gateway/admit.go
@@ -30,17 +30,37 @@
 	query fleet.Query
 	// waits holds the upstreams that had no turn at once, with the time until the next one.
 	waits map[core.UpstreamID]time.Duration
+	// departed is the upstream that has left while the request waited for its turn there, empty if
+	// none has.
+	departed core.UpstreamID
 }
 
 // chooseAdmitted returns the upstream of the next send like chooseUpstream. At an upstream
-// that states a limit, it takes a turn. Upstreams without a free turn come last: first other
-// upstreams that hold the weights, then a short wait for a turn, another copy of the weights,
-// and at last the wait for a turn within the deadline.
+// that states a limit, it takes a turn. If the upstream leaves meanwhile, it chooses anew.
 func (call *call) chooseAdmitted(ctx context.Context) (fleet.Selection, string, bool) {
-	turns := &turns{call: call, waits: make(map[core.UpstreamID]time.Duration), query: fleet.Query{
-		Service: call.service, Weights: call.request.Weights, Exclude: call.tried, Origin: call.origin(), Request: call.request.ID, Tokens: call.request.Tokens,
-		Prompt: call.request.Prompt, Objective: call.route.Objective,
-	}}
+	exclude := slices.Clone(call.tried)
+	for {
+		turns := &turns{call: call, waits: make(map[core.UpstreamID]time.Duration), query: fleet.Query{
+			Service: call.service, Weights: call.request.Weights, Exclude: exclude, Origin: call.origin(), Request: call.request.ID, Tokens: call.request.Tokens,
+			Prompt: call.request.Prompt, Objective: call.route.Objective,
+		}}
+		selection, reason, ok := turns.choose(ctx)
+		if ok || turns.departed == "" || ctx.Err() != nil {
+			return selection, reason, ok
+		}
+		table := call.gateway.options.Table
+		process, ok := table.Find(turns.departed)
+		if _, current := table.Current(process); !ok || !current {
+			exclude = append(exclude, turns.departed)
+		}
+	}
+}
+
+// choose returns an upstream at which the request has a turn if it needs one. Upstreams without a
+// free turn come last: first other upstreams that hold the weights, then a short wait for a turn,
+// another copy of the weights, and at last the wait for a turn within the deadline.
+func (turns *turns) choose(ctx context.Context) (fleet.Selection, string, bool) {
+	call := turns.call
 	if selection, ok := turns.chooseSameSoftware(ctx); ok {
 		return selection, "", true
 	}
@@ -60,8 +80,8 @@
 		return selection, "", true
 	}
 	turns.addHeldBack()
-	if selection, ok := turns.wait(ctx, shortTurn); ok {
-		return selection, "", true
+	if selection, ok := turns.wait(ctx, shortTurn); ok || turns.departed != "" {
+		return selection, "", ok
 	}
 	selection, reason, ok := call.chooseUpstream(ctx, turns.query, false)
 	if ok && turns.take(ctx, selection, shortTurn) {
@@ -102,7 +122,11 @@
 	if ok {
 		return true
 	}
-	turns.call.gateway.options.Table.Finish(selection)
+	table := turns.call.gateway.options.Table
+	if _, current := table.Current(selection); !current {
+		turns.departed = selection.Upstream
+	}
+	table.Finish(selection)
 	turns.add(selection.Upstream, left)
 	return false
 }
@@ -159,7 +183,7 @@
 // wait waits for a turn at one of the upstreams without one, at most for the given time.
 func (turns *turns) wait(ctx context.Context, limit time.Duration) (fleet.Selection, bool) {
 	for _, id := range turns.sorted() {
-		if turns.waits[id] > limit {
+		if turns.departed != "" || turns.waits[id] > limit {
 			break
 		}
 		selection, ok := turns.call.gateway.options.Table.Reserve(clock.Now(), id, turns.query)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -229,8 +229,8 @@
 		return tryAnother, err.Error()
 	}
 	runs := call.counts.Runs
-	next := call.send(ctx, selection, state == reach.Kept && !call.dialAnyway)
-	call.recordEnd(selection, runs)
+	next, sent := call.send(ctx, selection, state == reach.Kept && !call.dialAnyway)
+	call.recordEnd(sent, runs)
 	call.gateway.options.Table.Finish(selection)
 	if next == tryAnother && !retry.Allowed(call.route, call.counts) {
 		return tryAnother, "the route allows no further send"
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -90,10 +90,16 @@
 }
 
 // send sends the request to one upstream and forwards its response. If onlyOpen is set, it opens
-// no connection.
-func (call *call) send(ctx context.Context, selection fleet.Selection, onlyOpen bool) nextStep {
+// no connection. It returns the selection as it was when the request was sent.
+func (call *call) send(ctx context.Context, selection fleet.Selection, onlyOpen bool) (nextStep, fleet.Selection) {
 	attempt := &attempt{call: call, selection: selection, key: h1.Key{Upstream: selection.Upstream, Born: selection.Born, Address: selection.Address}}
-	limit := 0
+	next := attempt.run(ctx, onlyOpen)
+	return next, attempt.selection
+}
+
+// run opens a connection, sends the request and forwards its response.
+func (attempt *attempt) run(ctx context.Context, onlyOpen bool) nextStep {
+	call, limit := attempt.call, 0
 	if call.maxConns > 0 {
 		limit = max(1, call.maxConns/call.gateway.options.Table.EntryVMs())
 	}
@@ -261,9 +267,26 @@
 		"software_before", call.software, "software", attempt.selection.Software, "upstream", attempt.selection.Upstream, "sends", call.counts.Sends)
 }
 
-// exchange writes the request, reads the head of the response and handles the response.
+// withdraw gives up a send of which no byte was written, as the upstream takes no more requests. What
+// was paid for it is left for the next one.
+func (attempt *attempt) withdraw() nextStep {
+	call := attempt.call
+	call.paid = call.counts.Sends > 0
+	attempt.put()
+	attempt.log("withdrawn", nil)
+	return tryAnother
+}
+
+// exchange writes the request, reads the head of the response and handles the response. The upstream
+// may have left while the request waited for its turn, its record or a connection, so it is looked
+// up again just before the first byte is written.
 func (attempt *attempt) exchange(ctx context.Context) nextStep {
 	call := attempt.call
+	current, ok := call.gateway.options.Table.Current(attempt.selection)
+	if !ok {
+		return attempt.withdraw()
+	}
+	attempt.selection = current
 	call.counts.Sends++
 	attempt.sentAt = clock.Now()
 	attempt.heardAt = attempt.sentAt
