Detect a reset that only the writer of a request sees

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was written. The part was passed on as a complete answer.

Cause: a socket reports a reset once, and the goroutine that writes the request may get it. The reader of the answer then sees the regular end of the connection, which ends a body without a length.

Change: the end of such a body is an error if the request was not written completely; the reader waits up to 1 s for that.

--- a/internal/h1/body.go
+++ b/internal/h1/body.go
@@ -9,7 +9,8 @@
 
 // MayBeCut reports whether the response does not state where its body ends. The body ends with
 // the connection then, and so does that of an upstream which crashes. A server that has no body to
-// send states its length, so such a body is not complete while it is empty.
+// send states its length, so such a body is not complete while it is empty. A body that ends before
+// its request was written is not complete either; its reader returns an error.
 func MayBeCut(response *http.Response) bool {
 	return response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 }
@@ -22,12 +23,21 @@
 type trackedBody struct {
 	io.ReadCloser
 	conn *Conn
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
 }
 
-// Read reads from the body.
+// Read reads from the body. The end of a body that ends with its connection is an error if the
+// request was not written completely: a socket reports a reset once, and if that is to the writer,
+// the reader sees the regular end of a connection.
 func (body *trackedBody) Read(buffer []byte) (int, error) {
 	count, err := body.ReadCloser.Read(buffer)
 	if err == io.EOF { //nolint:errorlint // readers return io.EOF itself
+		if body.untilClose {
+			if err := body.conn.awaitWritten(); err != nil {
+				return count, err
+			}
+		}
 		body.conn.responseRead = true
 	}
 	return count, err //nolint:wrapcheck // the callers test for io.EOF
@@ -37,7 +47,7 @@
 func (conn *Conn) trackEnd(response *http.Response) {
 	conn.responseRead = response.Body == http.NoBody
 	if !conn.responseRead {
-		response.Body = &trackedBody{response.Body, conn}
+		response.Body = &trackedBody{response.Body, conn, MayBeCut(response)}
 	}
 }
 
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -167,6 +168,32 @@
 	return sent + len(body), nil
 }
 
+// lateWrite is the time for which the rest of a request is waited for after the response has ended
+// with the connection. A writer whose connection was reset returns at once.
+const lateWrite = time.Second
+
+// awaitWritten returns nil once the body of the last request was written. It returns the error of
+// the writer, or io.ErrUnexpectedEOF if the body is not written after lateWrite.
+func (conn *Conn) awaitWritten() error {
+	if conn.bodyWritten == nil {
+		return nil
+	}
+	timer := time.NewTimer(lateWrite)
+	defer timer.Stop()
+	select {
+	case err := <-conn.bodyWritten:
+		conn.bodyWritten = nil
+		if err != nil {
+			conn.broken = true
+			return errors.Wrap(err, "the response ended before the request was written")
+		}
+		return nil
+	case <-timer.C:
+		conn.broken = true
+		return errors.Wrap(io.ErrUnexpectedEOF, "the response ended before the request was written")
+	}
+}
+
 // AwaitResponse waits until the first byte of a response has arrived, at most for the given
 // time. It returns an error that wraps os.ErrDeadlineExceeded if none has.
 func (conn *Conn) AwaitResponse(limit time.Duration) error {
