Reject responses whose status or version is none

Callers saw: an upstream's answer with a status of 600 to 999, with HTTP/2.0 in the status line or with 101 was passed on; a status below 100 was skipped like an informational one, so that a 200 behind it was taken for the answer, or the caller waited for 3 s.

Cause: the reader took each head that net/http accepts, which checks neither the range of the status nor the version, and skipped all statuses below 200.

Change: a head that RFC 9110 and RFC 9112 do not allow is an error, after which the connection is closed. The request may have run: it is repeated where its route allows that, and else answered with 502.

Tests: scripts heads (h1), statuses (gateway) and answers (own deployments) fail with the code before. The script bounds has the new text of an error. The scripted upstream of the gateway's tests wrote an empty line before it reset a connection without an answer; it writes nothing now, as the script "reset before the response" says. FuzzResponseHead judges by the RFCs.

--- a/internal/gateway/script_test.go
+++ b/internal/gateway/script_test.go
@@ -168,7 +168,9 @@
 		answer, reset := strings.CutSuffix(answer, "RESET")
 		head, content, _ := strings.Cut(answer, "\n\n")
 		before, after, paused := strings.Cut(content, "PAUSE")
-		_, _ = io.WriteString(conn, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+before)
+		if answer != "" {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(head, "\n", "\r\n")+"\r\n\r\n"+before)
+		}
 		if paused {
 			<-time.After(pauseTime)
 			_, _ = io.WriteString(conn, after)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -330,11 +330,16 @@
 }
 
 // connectionLost reports and logs a connection error, unless the context has ended. A
-// response over a bound shows that the upstream can be reached and counts as its failure;
+// response that is over a bound or not valid shows that the upstream can be reached and counts as
+// its failure;
 // a response for which this VM has no memory does not count against the upstream.
 func (attempt *attempt) connectionLost(ctx context.Context, event string, err error) nextStep {
 	var bound *h1.BoundError
+	var invalid *h1.InvalidError
 	switch {
+	case errors.As(err, &invalid):
+		attempt.observe(fleet.Failed)
+		attempt.log("invalid response", err)
 	case errors.As(err, &bound):
 		attempt.observe(fleet.Failed)
 		attempt.log("response over a bound", err)
--- a/internal/h1/conn.go
+++ b/internal/h1/conn.go
@@ -210,8 +210,9 @@
 }
 
 // ReadResponse reads the head of the response to a request with the given method. It skips
-// up to maxInformational informational responses other than 101. The body must be read to
-// its end before the next request. It returns a *BoundError if the head is over a bound.
+// up to maxInformational informational responses. The body must be read to its end before the
+// next request. It returns a *BoundError if the head is over a bound, and an *InvalidError if it
+// is not valid.
 func (conn *Conn) ReadResponse(method string) (*http.Response, error) {
 	for range maxInformational + 1 {
 		response, err := conn.readHead(method)
@@ -219,7 +220,7 @@
 			conn.broken = true
 			return nil, errors.Wrap(err, "read answer")
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			conn.trackEnd(response)
 			conn.setIdleUntil(response)
 			return response, nil
--- a/internal/h1/head.go
+++ b/internal/h1/head.go
@@ -20,13 +20,65 @@
 	if err := conn.awaitHead(); err != nil {
 		return nil, err
 	}
+	if conn.hasOldCoding() {
+		return nil, &InvalidError{Err: errors.New("transfer coding in HTTP/1.0")}
+	}
 	response, err := http.ReadResponse(conn.reader, &http.Request{Method: method})
 	if err != nil {
-		return nil, errors.Wrap(err, "parse head")
+		return nil, &InvalidError{Err: errors.Wrap(err, "parse head")}
+	}
+	if err := checkHead(response); err != nil {
+		return nil, &InvalidError{Err: err}
 	}
 	return response, nil
 }
 
+// InvalidError reports a response that is none by RFC 9110 and RFC 9112. The connection must be
+// closed. Whether the request has run is not known.
+type InvalidError struct{ Err error }
+
+// Error returns the fault.
+func (err *InvalidError) Error() string { return "invalid response: " + err.Err.Error() }
+
+// Unwrap returns the fault.
+func (err *InvalidError) Unwrap() error { return err.Err }
+
+// checkHead returns an error for a head that net/http accepts and that is not valid: a version other
+// than HTTP/1.x (RFC 9112, section 2.3), a status outside 100 to 599 (RFC 9110, section 15), and 101
+// to a request that asks for no upgrade (RFC 9110, section 15.2.2).
+func checkHead(response *http.Response) error {
+	switch {
+	case response.ProtoMajor != 1:
+		return errors.Errorf("version %q", response.Proto)
+	case response.StatusCode < 100 || response.StatusCode > 599:
+		return errors.Errorf("status %q", response.Status)
+	case response.StatusCode == http.StatusSwitchingProtocols:
+		return errors.New("status 101 without a request for it")
+	default:
+		return nil
+	}
+}
+
+// hasOldCoding reports whether the head in the buffer is one of HTTP/1.0 with a transfer coding,
+// whose framing is faulty (RFC 9112, section 6.1). The parser ignores the coding, and would return
+// the chunks with their sizes as the body.
+func (conn *Conn) hasOldCoding() bool {
+	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
+	if !bytes.HasPrefix(buffered, []byte("HTTP/1.0")) {
+		return false
+	}
+	for line := range bytes.Lines(buffered) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if found && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+			return true
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			break
+		}
+	}
+	return false
+}
+
 // awaitHead returns once the buffer of the connection holds a whole head within the bounds.
 // Without it, the parser would allocate memory for as many bytes as the upstream sends.
 func (conn *Conn) awaitHead() error {
