Ask for a majority again while control VMs restart

Cause: each control VM was asked once, and one that restarts fails at once. The record of a change did not end the pause between batches, so the records of first sends left up to 250 ms later.

The record of a change sends what is queued.

--- a/internal/auditor/majority.go
+++ b/internal/auditor/majority.go
@@ -24,13 +24,15 @@
 	if err != nil {
 		return err
 	}
+	// The records of earlier sends of the request, which may state its origin, go without delay.
+	wake(auditor.startWaiting)
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	members := auditor.currentTargets().disks
 	results := make(chan error, len(members))
 	batch := []*pendingRecord{{record: numbered, payload: encode(numbered)}}
 	for _, member := range members {
-		go func() { results <- auditor.storeOn(ctx, member, batch, true) }()
+		go func() { results <- auditor.storeUntil(ctx, member, batch) }()
 	}
 	missing := core.Majority(len(members))
 	for range members {
@@ -52,3 +54,18 @@
 	auditor.endNotRun(record)
 	return ErrNoMajority
 }
+
+// majorityRetry is the time between two attempts to store a record on a VM. The VMs of a majority
+// may all be restarting, which takes about a second.
+const majorityRetry = 100 * time.Millisecond
+
+// storeUntil stores a batch on the disk of a member, and tries again after failures until the
+// context ends.
+func (auditor *Auditor) storeUntil(ctx context.Context, member Member, batch []*pendingRecord) error {
+	for {
+		err := auditor.storeOn(ctx, member, batch, true)
+		if err == nil || !sleep(ctx, majorityRetry) {
+			return err
+		}
+	}
+}
--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -15,15 +15,22 @@
 	// maxOriginQueries bounds the concurrent questions of one VM about the origins of streams,
 	// so that callers who name streams that never began do not take up the control VMs.
 	maxOriginQueries = 256
+	// originRecordWait bounds the wait for the record of a send, which reaches a control VM with a
+	// batch, at most 250 ms later.
+	originRecordWait = 400 * time.Millisecond
+	// originRetry is the time between two questions while too few control VMs answer.
+	originRetry = 100 * time.Millisecond
+	// originRound bounds one question, after which the control VMs that did not answer are asked again.
+	originRound = 500 * time.Millisecond
 	// originReplyMargin is the time that the answer of a control VM may take beyond its wait.
 	originReplyMargin = 50 * time.Millisecond
 )
 
 // FindOrigin asks all control VMs for the origin of the stream whose first event the answer to
 // a request brought. A majority of them must say what they know now, which shows each send to
-// another software version. If none of them knows a send, the record of the only ones may be on
-// its way, and is waited for until the time wait has passed. If none knows one by then, or the
-// request is empty, the origin is the only software version that the service had lately, as far as
+// another software version; it is waited for until the time wait has passed. If none of them knows a
+// send, the record of the only ones may be on its way, and is waited for as well. If none knows one by
+// then, or the request is empty, the origin is the only software version that the service had lately, as far as
 // a majority of the control VMs knows. FindOrigin returns false if there were several, if too few
 // control VMs have answered, or if too many other requests are asked about.
 func (follower *Follower) FindOrigin(ctx context.Context, service core.ServiceID, request core.RequestID, wait time.Duration) (origin.Origin, bool) {
@@ -39,12 +46,16 @@
 		return orSole(origin.Origin{}, false, service, question.ask(ctx, 0, never))
 	}
 	started := time.Now()
-	now := question.ask(ctx, 0, (*origin.Survey).Settled)
+	now := question.askNow(ctx)
+	for !now.Settled() && now.Sole() == "" && len(question.asked) > 0 && time.Since(started) < wait-originRetry {
+		sleep(ctx, originRetry)
+		now = question.askNow(ctx)
+	}
 	if from, ok := now.Origin(); ok || !now.Settled() {
 		return orSole(from, ok, service, now)
 	}
 	// All sends went to one version, so the first record that arrives states it.
-	later := question.ask(ctx, wait-time.Since(started), (*origin.Survey).Found)
+	later := question.ask(ctx, min(originRecordWait, wait-time.Since(started)), (*origin.Survey).Found)
 	from, ok := later.Latest()
 	return orSole(from, ok, service, later)
 }
@@ -81,6 +92,13 @@
 	asked    []core.VMID
 }
 
+// askNow asks all control VMs for what they know now.
+func (question *originQuestion) askNow(ctx context.Context) *origin.Survey {
+	ctx, cancel := context.WithTimeout(ctx, originRound)
+	defer cancel()
+	return question.ask(ctx, 0, (*origin.Survey).Settled)
+}
+
 // ask asks all control VMs, which wait for a record at most for the time wait, and returns their
 // answers once they are enough, all have answered, or the context has ended.
 func (question *originQuestion) ask(ctx context.Context, wait time.Duration, enough func(*origin.Survey) bool) *origin.Survey {
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -28,6 +28,9 @@
 	// after is the time after which it has the record of the answer, and for which it waits if
 	// it is asked to.
 	after time.Duration
+	// back is the time from which it answers, backAfter the start of the test; before, its links fail.
+	back      time.Time
+	backAfter time.Duration
 }
 
 // askedControlVMs answer questions about the origins of streams.
@@ -50,7 +53,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	if reply.failed {
+	if reply.failed || time.Now().Before(reply.back) {
 		return nil, errors.New("the link is closed")
 	}
 	return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: peer.OriginMessage(answer)}}, nil
@@ -63,7 +66,8 @@
 
 // TestOriginScripts guards against a stream that is continued at the version of an earlier send
 // of its request, as only a minority or VMs that have lost records know it; against a wait for
-// control VMs that do not answer although a majority does; against a record that is on its way and
+// control VMs that do not answer although a majority does; against a refusal while control VMs
+// restart; against a record that is on its way and
 // is not waited for; and against a version that is taken for the only one although a control VM
 // knows of another, or too few know.
 func TestOriginScripts(t *testing.T) {
@@ -76,12 +80,18 @@
 			seeds = append(seeds, vm)
 			controls[vm] = parseReply(fields[1:])
 		}
+		wait := 400
+		data.MaybeScanArgs(t, "wait", &wait)
 		var result string
 		synctest.Test(t, func(t *testing.T) {
+			for vm, reply := range controls {
+				reply.back = time.Now().Add(reply.backAfter)
+				controls[vm] = reply
+			}
 			follower, stop := Follow(Options{VM: "e", Zone: "z", Seeds: seeds, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
 			defer stop()
 			started := time.Now()
-			found, ok := follower.FindOrigin(t.Context(), "s", "r1", 400*time.Millisecond)
+			found, ok := follower.FindOrigin(t.Context(), "s", "r1", time.Duration(wait)*time.Millisecond)
 			result = fmt.Sprintf("found=%t %s after %s\n", ok, found.Software, time.Since(started))
 		})
 		return result
@@ -98,6 +108,8 @@
 			reply.delay = time.Duration(number) * time.Millisecond
 		case "after":
 			reply.after = time.Duration(number) * time.Millisecond
+		case "back":
+			reply.backAfter = time.Duration(number) * time.Millisecond
 		case "sole":
 			reply.answer.Sole = core.SoftwareVersion(value)
 		case "failed":
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -3,20 +3,15 @@
 import (
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
 )
 
-const (
-	// originTimeout bounds the wait for the origin of a stream that began on another VM. The
-	// record of a send reaches a control VM with a batch, at most 250 ms later.
-	originTimeout = 400 * time.Millisecond
-	// originWaitDivisor limits that wait to the time that the caller waits, divided by it.
-	originWaitDivisor = 3
-)
+// originWaitDivisor limits the wait for the origin of a stream that began on another VM to the time
+// that the caller waits, divided by it. A restart of the control VMs takes about a second.
+const originWaitDivisor = 3
 
 // The reasons why a stream that has begun is not continued.
 const (
@@ -83,8 +78,7 @@
 	if call.request.Patience > 0 {
 		limit = min(limit, call.request.Patience)
 	}
-	wait := min(originTimeout, limit/originWaitDivisor)
-	return finder.FindOrigin(call.incoming.Context(), call.soleTarget(), request, wait)
+	return finder.FindOrigin(call.incoming.Context(), call.soleTarget(), request, limit/originWaitDivisor)
 }
 
 // soleTarget returns the service of the route, and an empty one if it has several: the request
