Let the weights of the test come from the owner of the engine

Cause: an announcement with the same identity does not replace the weights, so the script in which the newer revision is loaded showed the case before it once more. Change: the script reports the weights as the owner does. Measured: the upstream is current with revision 4.

--- a/internal/fleet/current_test.go
+++ b/internal/fleet/current_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/policy/residency"
 )
 
 // TestCurrent guards against a request that is sent to an upstream which has changed since it was
@@ -46,7 +47,7 @@
 			case "revised":
 				table.SetRevision(key, 4)
 			case "loaded":
-				instance.Models = []core.ModelResidency{{Model: "m", Adapters: map[core.AdapterID]core.Revision{"a": 4}}}
+				table.SetResidency(residency.Change{Upstream: "u", Born: 1, Whole: true, Added: []residency.Holding{{Weights: key, Revision: 4}}}, 1)
 			}
 		}
 		table.SetInstance(time.Second, instance)
