Bound the wait for control VMs that stand still

Callers would have seen: the wait for a majority, which may take a third of the caller's time, also applied to questions that have a majority and wait for a record, or for the versions of a service. One control VM that stands still would have delayed each of them by up to 4 s instead of 0.45 s.

Change: each question has a limit of its own. The group of control VMs is computed once a second or when a list changes, instead of with each event of a watch.

--- a/internal/fleet/controls.go
+++ b/internal/fleet/controls.go
@@ -29,12 +29,16 @@
 	lists map[core.VMID]controlList
 }
 
-// set replaces the list of a control VM that is followed.
-func (group *controlGroup) set(source core.VMID, vms []ControlVM) {
+// set replaces the list of a control VM that is followed. It returns false if that changes nothing.
+func (group *controlGroup) set(source core.VMID, vms []ControlVM) bool {
+	if before := group.lists[source]; !before.ended && slices.Equal(before.vms, vms) {
+		return false
+	}
 	if group.lists == nil {
 		group.lists = make(map[core.VMID]controlList)
 	}
 	group.lists[source] = controlList{vms: vms}
+	return true
 }
 
 // seed adds control VMs from the settings.
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -35,6 +35,9 @@
 	// once occupied its place in the engine for 2 s, and loads waited for a place while the
 	// store had capacity.
 	usageInterval = 80 * time.Millisecond
+	// controlsInterval is the time between two looks for lists of control VMs that have expired. A
+	// list comes with each event of a watch.
+	controlsInterval = time.Second
 	// usageTimeout bounds one report. An owner that does not answer gets no other report
 	// until then.
 	usageTimeout = 500 * time.Millisecond
@@ -83,6 +86,8 @@
 	// Options.Controls was called last.
 	controls   controlGroup
 	controlVMs []ControlVM
+	// nextControls is the time from which lists that have expired are looked for again.
+	nextControls time.Duration
 	// admitAfter holds the time until which an owner that did not answer is not asked for a
 	// turn at an upstream with a limit.
 	admitAfter map[core.VMID]time.Duration
@@ -244,8 +249,12 @@
 	}
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	follower.controls.set(source, listed)
-	controlVMs := follower.controls.all(clock.Now())
+	now := clock.Now()
+	if !follower.controls.set(source, listed) && now < follower.nextControls {
+		return
+	}
+	follower.nextControls = now + controlsInterval
+	controlVMs := follower.controls.all(now)
 	if slices.Equal(controlVMs, follower.controlVMs) {
 		return
 	}
--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -30,32 +30,31 @@
 // a request brought. A majority of them must say what they know now, which shows each send to
 // another software version; it is waited for until the time wait has passed. If none of them knows a
 // send, the record of the only ones may be on its way, and is waited for as well. If none knows one by
-// then, or the request is empty, the origin is the only software version that the service had lately, as far as
-// a majority of the control VMs knows. FindOrigin returns false if there were several, if too few
-// control VMs have answered, or if too many other requests are asked about.
+// then, or the request is empty, the origin is the only software version that the service had lately,
+// as far as a majority of the control VMs knows. FindOrigin returns false if there were several, if too
+// few control VMs have answered, or if too many other requests are asked about.
 func (follower *Follower) FindOrigin(ctx context.Context, service core.ServiceID, request core.RequestID, wait time.Duration) (origin.Origin, bool) {
 	if follower.originQueries.Add(1) > maxOriginQueries {
 		follower.originQueries.Add(-1)
 		return origin.Origin{}, false
 	}
 	defer follower.originQueries.Add(-1)
-	ctx, cancel := context.WithTimeout(ctx, wait+originReplyMargin)
-	defer cancel()
 	question := &originQuestion{follower: follower, service: service, request: request, asked: follower.controlIDs()}
 	if request == "" {
-		return orSole(origin.Origin{}, false, service, question.ask(ctx, 0, never))
+		return orSole(origin.Origin{}, false, service, question.ask(ctx, 0, min(wait, originRecordWait), never))
 	}
 	started := time.Now()
-	now := question.askNow(ctx)
-	for !now.Settled() && now.Sole() == "" && len(question.asked) > 0 && time.Since(started) < wait-originRetry {
+	now := question.ask(ctx, 0, min(wait, originRound), (*origin.Survey).Settled)
+	for !now.Settled() && now.Sole() == "" && len(question.asked) > 0 && ctx.Err() == nil && time.Since(started) < wait-originRetry {
 		sleep(ctx, originRetry)
-		now = question.askNow(ctx)
+		now = question.ask(ctx, 0, min(wait-time.Since(started), originRound), (*origin.Survey).Settled)
 	}
 	if from, ok := now.Origin(); ok || !now.Settled() {
 		return orSole(from, ok, service, now)
 	}
 	// All sends went to one version, so the first record that arrives states it.
-	later := question.ask(ctx, min(originRecordWait, wait-time.Since(started)), (*origin.Survey).Found)
+	left := min(wait-time.Since(started), originRecordWait)
+	later := question.ask(ctx, left, left, (*origin.Survey).Found)
 	from, ok := later.Latest()
 	return orSole(from, ok, service, later)
 }
@@ -92,16 +91,11 @@
 	asked    []core.VMID
 }
 
-// askNow asks all control VMs for what they know now.
-func (question *originQuestion) askNow(ctx context.Context) *origin.Survey {
-	ctx, cancel := context.WithTimeout(ctx, originRound)
-	defer cancel()
-	return question.ask(ctx, 0, (*origin.Survey).Settled)
-}
-
 // ask asks all control VMs, which wait for a record at most for the time wait, and returns their
-// answers once they are enough, all have answered, or the context has ended.
-func (question *originQuestion) ask(ctx context.Context, wait time.Duration, enough func(*origin.Survey) bool) *origin.Survey {
+// answers once they are enough, all have answered, or limit and a margin have passed.
+func (question *originQuestion) ask(ctx context.Context, wait, limit time.Duration, enough func(*origin.Survey) bool) *origin.Survey {
+	ctx, cancel := context.WithTimeout(ctx, limit+originReplyMargin)
+	defer cancel()
 	answers := make(chan *wire.OriginResult, len(question.asked))
 	for _, vm := range question.asked {
 		go func() {
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -82,6 +82,10 @@
 		}
 		wait := 400
 		data.MaybeScanArgs(t, "wait", &wait)
+		request := core.RequestID("r1")
+		if data.HasArg("unnamed") {
+			request = ""
+		}
 		var result string
 		synctest.Test(t, func(t *testing.T) {
 			for vm, reply := range controls {
@@ -91,7 +95,7 @@
 			follower, stop := Follow(Options{VM: "e", Zone: "z", Seeds: seeds, Table: NewTable("z"), Calls: controls, Logger: log.New(io.Discard)})
 			defer stop()
 			started := time.Now()
-			found, ok := follower.FindOrigin(t.Context(), "s", "r1", time.Duration(wait)*time.Millisecond)
+			found, ok := follower.FindOrigin(t.Context(), "s", request, time.Duration(wait)*time.Millisecond)
 			result = fmt.Sprintf("found=%t %s after %s\n", ok, found.Software, time.Since(started))
 		})
 		return result
