Show each fault of the plan of replacements by a play of its own

Change: testdata/replacements has one play for each, and TestPlan prints the successor that a step names.

--- a/pkg/replica/raft/plan_test.go
+++ b/pkg/replica/raft/plan_test.go
@@ -25,6 +25,9 @@
 		if !ok {
 			return "nothing\n"
 		}
+		if !step.Successor.IsZero() {
+			return fmt.Sprintf("%s %s for %s\n", step.Kind, step.Replica, step.Successor)
+		}
 		return fmt.Sprintf("%s %s\n", step.Kind, step.Replica)
 	})
 }
--- a/pkg/replica/raft/replacements_test.go
+++ b/pkg/replica/raft/replacements_test.go
@@ -3,7 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
+
+	"github.com/cockroachdb/datadriven"
 )
 
 // departure is the replacement of one VM by another one of its zone.
@@ -160,3 +163,27 @@
 		})
 	}
 }
+
+// TestReplacementScripts guards against single faults of the plan that plays drawn at random seldom
+// show. Its data file names them.
+func TestReplacementScripts(t *testing.T) {
+	datadriven.RunTest(t, "testdata/replacements", func(t *testing.T, data *datadriven.TestData) string {
+		play := overlap{last: data.HasArg("last")}
+		data.ScanArgs(t, "size", &play.size)
+		data.ScanArgs(t, "zones", &play.zones)
+		data.ScanArgs(t, "voters", &play.voters)
+		data.ScanArgs(t, "lost", &play.lost)
+		for line := range strings.Lines(data.Input) {
+			vm, first, second := 0, 0, 0
+			if _, err := fmt.Sscanf(line, "replace %d start %d go %d", &vm, &first, &second); err == nil {
+				play.departures = append(play.departures, departure{vm, first, second})
+				continue
+			}
+			if _, err := fmt.Sscanf(line, "wipe %d at %d", &vm, &first); err != nil {
+				t.Fatalf("unknown line %q", line)
+			}
+			play.losses = append(play.losses, diskLoss{vm, first})
+		}
+		return fmt.Sprintf("recovers: %t\n", play.run())
+	})
+}
