Send requests to upstreams that seem to have ended, as before

Suspected cause: the look before a send rejected an upstream whose process seemed to have ended until two announcements later, while the selection goes on choosing it. A process that comes back at once got nothing in that time.

Change: such an upstream is rejected only for requests that were selected before, and its software is not known, as before.

--- a/internal/fleet/current.go
+++ b/internal/fleet/current.go
@@ -8,9 +8,10 @@
 }()
 
 // Current returns a selection as it is now, with the newest revision of its weights. It returns
-// false if the request must not be sent there any more: the process leaves or has ended, another
-// one has its ID, its software is not that of the selection, or it lacks that revision. A request
-// that was selected an upstream may have waited for a turn, a load, a record or a connection since.
+// false if the request must not be sent there any more: the process leaves, another one has its ID,
+// its software is not that of the selection, as after it seemed to have ended, or it lacks that
+// revision. A request that was selected an upstream may have waited for a turn, a load, a record or a
+// connection since.
 func (table *Table) Current(selected Selection) (Selection, bool) {
 	table.lock.Lock()
 	defer table.lock.Unlock()
@@ -30,11 +31,11 @@
 // takes reports whether the process of a selection may be sent requests. A nil upstream is not
 // known any more.
 func (upstream *upstream) takes(selected Selection) bool {
-	return upstream != nil && upstream.instance.Born == selected.Born && upstream.instance.Address == selected.Address && upstream.usable() && !upstream.ended
+	return upstream != nil && upstream.instance.Born == selected.Born && upstream.instance.Address == selected.Address && upstream.usable()
 }
 
-// departure returns a channel that is closed once the process of a selection leaves, has ended or
-// changes its software.
+// departure returns a channel that is closed once the process of a selection leaves, seems to have
+// ended or changes its software.
 func (table *Table) departure(selected Selection) <-chan struct{} {
 	table.lock.Lock()
 	defer table.lock.Unlock()
