Log how long an entry VM waits for a route table and why

Cause: the hypotheses on late configurations could not be told apart. An entry VM logged that a table is in force, not since when it knew of it, what it fetched and what came back; answers with an old number were not logged at all, and a control VM counted no pages. Change: wait, fetch and decoding time and bytes in the line of a new table, a histogram of the waits, fetches by result and control VM; pages, bytes and encoding time at control VMs. The code of fetches and pages moves to files of its own. No logic changes. Measured: package tests of fleet and control pass.

--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,6 +1,10 @@
 package control
 
-import "github.com/dandelionring/dandelionring/internal/telemetry"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/dandelionring/dandelionring/internal/telemetry"
+)
 
 var (
 	orderCounts = telemetry.NewCounterFamily("dandelionring_orders_total", "order", "outcome")
@@ -23,7 +27,12 @@
 	// quotaRequestCounts counts the requests for tokens of workspaces, by whether this VM grants
 	// them and whether the sender was attached.
 	quotaRequestCounts = telemetry.NewCounterFamily("dandelionring_quota_requests_total", "result", "sender")
-	placeCounts        = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// routePages, routePageBytes and routePageSeconds count the pages of the route table that this VM
+	// has sent, their bytes and the time of their encoding.
+	routePages       = metrics.GetOrCreateCounter("dandelionring_routes_pages_total")
+	routePageBytes   = metrics.GetOrCreateCounter("dandelionring_routes_pages_bytes_total")
+	routePageSeconds = metrics.GetOrCreateFloatCounter("dandelionring_routes_pages_encoding_seconds_total")
+	placeCounts      = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
 
 // maxPaceGauges is the number of upstreams that have gauges of their own.
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -105,35 +104,6 @@
 	return response.GetRoutesPage(), nil
 }
 
-// routesPage returns the route table of the local replica, as the operator's document or
-// encoded as JSON, with all revisions. It returns an error if the VM that fetches the table has
-// not stated that it can apply it.
-func (control *Control) routesPage(replica *host.Replica, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
-	var routes core.RouteTable
-	page := &wire.RoutesPage{}
-	replica.View(func(state *ledger.State) {
-		var original []byte
-		routes, original = state.Routes()
-		if fetch.GetDocument() {
-			page.Document = original
-		}
-		page.Revisions = peer.RevisionMessages(state.RevisionsSince(0))
-	})
-	page.Number = uint64(routes.Number)
-	if fetch.GetDocument() {
-		return page, nil
-	}
-	if lacks := routes.Unsupported(peer.FeaturesFromMessage(fetch.GetFeatures())); len(lacks) > 0 {
-		return nil, errors.Errorf("the VM has not stated that it can apply %s", lacks[0])
-	}
-	table, err := json.Marshal(routes)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode routes")
-	}
-	page.Table = table
-	return page, nil
-}
-
 // answerRoutesFetch returns the route table to another VM, confirmed by a majority if the
 // request asks for that.
 func (control *Control) answerRoutesFetch(ctx context.Context, request *wire.RoutesFetch) (*wire.RoutesPage, error) {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/internal/peer"
@@ -28,8 +25,6 @@
 	// watchRetryDelay is the delay before the watch of a control VM is opened again. It is
 	// below 2 s, in which every entry VM must know that an upstream leaves.
 	watchRetryDelay = 300 * time.Millisecond
-	// fetchTimeout bounds one fetch of the route table.
-	fetchTimeout = 1500 * time.Millisecond
 	// usageInterval is the minimum time between two usage reports to an owner, which unloads
 	// only weights that are not in use. With reports every 500 ms, an adapter that was used
 	// once occupied its place in the engine for 2 s, and loads waited for a place while the
@@ -98,6 +93,8 @@
 	// one after a failed fetch.
 	wantedNumber core.ConfigNumber
 	fetchSource  core.VMID
+	// waits holds the numbers that were stated and are not in force.
+	waits routeWaits
 }
 
 // Follow starts to watch the control VMs. The function that it returns stops the follower
@@ -271,88 +268,6 @@
 	follower.controls.end(clock.Now(), vm)
 }
 
-// startFetch fetches the route table in the background and retries until the table has at
-// least the number that a control VM has reported. The first table must be confirmed by a
-// majority: a partitioned control VM may hold an old one, and this VM may have served a
-// newer one before it was restarted.
-func (follower *Follower) startFetch(vm core.VMID, number core.ConfigNumber) {
-	follower.lock.Lock()
-	follower.wantedNumber = max(follower.wantedNumber, number)
-	follower.fetchSource = vm
-	follower.lock.Unlock()
-	select {
-	case follower.fetching <- struct{}{}:
-	default:
-		return
-	}
-	follower.running.Go(func() {
-		defer func() { <-follower.fetching }()
-		for follower.ctx.Err() == nil {
-			vm, number := follower.fetchTarget()
-			if follower.options.Table.RoutesNumber() >= number {
-				return
-			}
-			if err := follower.fetchRoutes(vm); err != nil {
-				follower.options.Logger.Warn("The route table could not be fetched.", "control", vm, "number", number, "error", err)
-				follower.rotateSource(vm)
-				sleep(follower.ctx, fetchRetryDelay)
-			}
-		}
-	})
-}
-
-// fetchRetryDelay is the delay after a failed fetch. An election takes 0.5 s to 1.5 s.
-const fetchRetryDelay = 100 * time.Millisecond
-
-// rotateSource makes the next fetch ask a control VM other than the one that failed.
-func (follower *Follower) rotateSource(failed core.VMID) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	vms := slices.Sorted(maps.Keys(follower.watched))
-	if at := slices.Index(vms, failed); at >= 0 && follower.fetchSource == failed {
-		follower.fetchSource = vms[(at+1)%len(vms)]
-	}
-}
-
-// fetchTarget returns the control VM to fetch the route table from and the least number
-// wanted.
-func (follower *Follower) fetchTarget() (core.VMID, core.ConfigNumber) {
-	follower.lock.Lock()
-	defer follower.lock.Unlock()
-	return follower.fetchSource, follower.wantedNumber
-}
-
-// fetchRoutes fetches the route table from a control VM and puts it in force if it is
-// newer than the present one. It returns an error if the VM does not answer or has none.
-func (follower *Follower) fetchRoutes(vm core.VMID) error {
-	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
-	defer cancel()
-	first := follower.options.Table.RoutesNumber() == 0
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first, Features: peer.FeatureMessages(core.SupportedFeatures())}}}
-	response, err := follower.options.Calls.Call(ctx, vm, request)
-	if err != nil {
-		return errors.Wrap(err, "fetch routes")
-	}
-	page := response.GetRoutesPage()
-	if page.GetNumber() == 0 {
-		return errors.New("the control VM has no route table yet")
-	}
-	var routes core.RouteTable
-	if err := json.Unmarshal(page.GetTable(), &routes); err != nil {
-		return errors.Wrap(err, "decode routes")
-	}
-	for _, message := range page.GetRevisions() {
-		follower.options.Table.SetRevision(peer.RevisionFromMessage(message))
-	}
-	if !follower.options.Table.SetRoutes(routes) {
-		return nil
-	}
-	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "workspaces", len(routes.Workspaces), "control", vm, "confirmed", first)
-	follower.setLimits(routes)
-	follower.options.Changed(routes)
-	return nil
-}
-
 // reportLoop sends usage reports to the owners of the zones' engines until the follower
 // stops. Each report has its own goroutine, so that an owner that does not answer delays no
 // report to another one.
