Start a fetch for a number that is stated while the last one ends

Cause: the fetcher looked for a newer number, and released its place in a second step. A number that was stated in between found the place taken and started no fetch. Class: check and act in two steps (lost wake-up). Change: the last look and the release of the place are one step under the lock that a statement takes.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -67,10 +67,8 @@
 	options Options
 	ctx     context.Context
 	running sync.WaitGroup
-	// fetching holds one element while a goroutine fetches the route table.
-	fetching chan struct{}
-	crashes  crashes
-	quotas   quotas
+	crashes crashes
+	quotas  quotas
 	// originQueries counts the questions about the origins of streams in flight.
 	originQueries atomic.Int32
 
@@ -95,13 +93,15 @@
 	fetchSource  core.VMID
 	// waits holds the numbers that were stated and are not in force.
 	waits routeWaits
+	// fetching is set while a goroutine fetches the route table.
+	fetching bool
 }
 
 // Follow starts to watch the control VMs. The function that it returns stops the follower
 // and waits until its goroutines have ended.
 func Follow(options Options) (*Follower, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
-	follower := &Follower{options: options, ctx: ctx, fetching: make(chan struct{}, 1), watched: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool), admitAfter: make(map[core.VMID]time.Duration)}
+	follower := &Follower{options: options, ctx: ctx, watched: make(map[core.VMID]bool), reporting: make(map[core.ZoneID]bool), admitAfter: make(map[core.VMID]time.Duration)}
 	follower.crashes.bans.VM = options.VM
 	follower.quotas.due = make(chan struct{}, 1)
 	options.Table.setVM(options.VM)
--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -75,20 +75,18 @@
 // newer one before it was restarted.
 func (follower *Follower) startFetch(vm core.VMID, number core.ConfigNumber) {
 	follower.lock.Lock()
+	defer follower.lock.Unlock()
 	follower.wantedNumber = max(follower.wantedNumber, number)
 	follower.fetchSource = vm
 	follower.waits.state(clock.Now(), number)
-	follower.lock.Unlock()
-	select {
-	case follower.fetching <- struct{}{}:
-	default:
+	if follower.fetching || follower.ctx.Err() != nil {
 		return
 	}
+	follower.fetching = true
 	follower.running.Go(func() {
-		defer func() { <-follower.fetching }()
-		for follower.ctx.Err() == nil {
-			vm, number := follower.fetchTarget()
-			if follower.options.Table.RoutesNumber() >= number {
+		for {
+			vm, number, ended := follower.nextFetch()
+			if ended {
 				return
 			}
 			if err := follower.fetchRoutes(vm); err != nil {
@@ -113,12 +111,17 @@
 	}
 }
 
-// fetchTarget returns the control VM to fetch the route table from and the least number
-// wanted.
-func (follower *Follower) fetchTarget() (core.VMID, core.ConfigNumber) {
+// nextFetch returns the control VM to fetch the route table from and the least number wanted. It
+// ends the goroutine if that table is in force. The look and the end are one step: a number that is
+// stated after it starts another goroutine.
+func (follower *Follower) nextFetch() (vm core.VMID, number core.ConfigNumber, ended bool) {
 	follower.lock.Lock()
 	defer follower.lock.Unlock()
-	return follower.fetchSource, follower.wantedNumber
+	if follower.options.Table.RoutesNumber() >= follower.wantedNumber || follower.ctx.Err() != nil {
+		follower.fetching = false
+		return "", 0, true
+	}
+	return follower.fetchSource, follower.wantedNumber, false
 }
 
 // fetchRoutes fetches the route table from a control VM and puts it in force if it is
