Send what changed in a route table instead of the table

Callers saw: 404 for a route, or the service of an older version, up to 3.4 s after the acknowledgement of a change (bound 2 s), on entry VMs with links of 10 Mbit/s and a table of 2,849 routes. Cause: for each change, each of 70 entry VMs fetched the whole table, 0.64 MB, encoded anew for each of them; links, processors and memory of control VMs were full, and heartbeats and leases waited behind tables. Class: the complete state sent to each receiver for each change, so that the cost is routes x VMs x changes. TestDistributionOfChanges failed before (389,632 bytes for one of 2,000 routes). Change: package routediff computes and applies changes, and a digest that is followed from change to change proves that both ends hold the same table. The replicated state retains the last changes. A control VM sends a small change with the event that states its number, encoded once for all VMs; a larger one is fetched, and whole tables are compressed and encoded once for each number. A confirmed first table comes from the control VM itself once it holds what the leader holds. VMs of older builds get what they got before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -87,6 +87,7 @@
 	hub     hub
 	origins origins
 	peers   *Peers
+	pages   routePages
 	served  servedPages
 	changed chan struct{}
 	// sharesDue holds one element while shares of the quotas may have to be recorded.
--- a/internal/control/departure_test.go
+++ b/internal/control/departure_test.go
@@ -65,7 +65,7 @@
 			peers.recordContact(clock.Now(), Peer{VM: other})
 		}
 		group.controls[vm] = New(Options{VM: vm, Calls: controlCaller{group, vm}, Logger: log.New(io.Discard)}, peers)
-		group.entries[vm] = group.controls[vm].hub.add("entry", true, false, 0)
+		group.entries[vm] = group.controls[vm].hub.add(&wire.Watch{Vm: "entry"}, true)
 	}
 	return group
 }
--- a/internal/control/hub.go
+++ b/internal/control/hub.go
@@ -45,6 +45,11 @@
 	offered  []handover.Target
 	// revisionIndex is the log index of the last adapter revision that it was sent.
 	revisionIndex uint64
+	// routeChanges is set for an entry VM that applies changes of the route table, with the given
+	// features, and routesNumber is the number that it was sent last.
+	routeChanges bool
+	features     []core.Feature
+	routesNumber core.ConfigNumber
 	// signal holds one element while changes are pending.
 	signal chan struct{}
 
@@ -68,16 +73,16 @@
 	subscribers map[*subscriber]struct{}
 }
 
-// add registers a subscriber, which gets a snapshot first. revisionIndex is the log index
-// of the last adapter revision that it knows.
-func (hub *hub) add(vm core.VMID, local, control bool, revisionIndex uint64) *subscriber {
+// add registers the sender of a watch, which gets a snapshot first.
+func (hub *hub) add(request *wire.Watch, local bool) *subscriber {
 	hub.lock.Lock()
 	defer hub.lock.Unlock()
 	if hub.subscribers == nil {
 		hub.subscribers = make(map[*subscriber]struct{})
 	}
 	next := &subscriber{
-		vm: vm, local: local, control: control, revisionIndex: revisionIndex, signal: make(chan struct{}, 1),
+		vm: core.VMID(request.GetVm()), local: local, control: request.GetControl(), revisionIndex: request.GetRevisionIndex(), signal: make(chan struct{}, 1),
+		routeChanges: request.GetRouteChanges(), features: peer.FeaturesFromMessage(request.GetFeatures()),
 		instances: make(map[core.UpstreamID]core.Instance), verdicts: make(map[conviction.Trait]conviction.Verdict), limits: make(map[throttle.Process]throttle.Statement),
 		dirty: true, overflow: true,
 	}
@@ -245,7 +250,7 @@
 // serveWatch sends changes to one subscriber until the context ends or a send fails.
 func (control *Control) serveWatch(ctx context.Context, request *wire.Watch, send func(*wire.Response) error) {
 	local := core.ZoneID(request.GetZone()) == control.options.Zone
-	subscriber := control.hub.add(core.VMID(request.GetVm()), local, request.GetControl(), request.GetRevisionIndex())
+	subscriber := control.hub.add(request, local)
 	defer control.hub.remove(subscriber)
 	if address := request.GetHandoverAddress(); address != "" {
 		control.hub.offer(subscriber, handover.Target{VM: core.VMID(request.GetVm()), Zone: core.ZoneID(request.GetZone()), Address: address})
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -27,12 +27,13 @@
 	// quotaRequestCounts counts the requests for tokens of workspaces, by whether this VM grants
 	// them and whether the sender was attached.
 	quotaRequestCounts = telemetry.NewCounterFamily("dandelionring_quota_requests_total", "result", "sender")
-	// routePages, routePageBytes and routePageSeconds count the pages of the route table that this VM
-	// has sent, their bytes and the time of their encoding.
-	routePages       = metrics.GetOrCreateCounter("dandelionring_routes_pages_total")
-	routePageBytes   = metrics.GetOrCreateCounter("dandelionring_routes_pages_bytes_total")
-	routePageSeconds = metrics.GetOrCreateFloatCounter("dandelionring_routes_pages_encoding_seconds_total")
-	placeCounts      = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
+	// pageCounts and pageBytes count the route tables that this VM has sent, by their form and by
+	// whether they were encoded for it ("new") or before ("shared"), and their bytes. pageSeconds is
+	// the time of their encoding.
+	pageCounts  = telemetry.NewCounterFamily("dandelionring_routes_pages_total", "form", "encoding")
+	pageBytes   = telemetry.NewCounterFamily("dandelionring_routes_pages_bytes_total", "form", "encoding")
+	pageSeconds = metrics.GetOrCreateFloatCounter("dandelionring_routes_pages_encoding_seconds_total")
+	placeCounts = telemetry.NewCounterFamily("dandelionring_places_total", "result", "reason")
 )
 
 // maxPaceGauges is the number of upstreams that have gauges of their own.
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -15,6 +15,164 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
+// maxPushedBytes is the largest change of the route table that is sent with an event. Each entry
+// VM gets it from all control VMs, so a larger one is left to be fetched from one of them.
+const maxPushedBytes = 16 << 10
+
+// routePages holds the encoded forms of the newest route table, each of which is encoded once for
+// all VMs that need it. The zero value is empty.
+type routePages struct {
+	// lock has position 4 in the lock order.
+	lock   sync.Mutex
+	number core.ConfigNumber
+	// table is the JSON of the table, and compressed the same, compressed.
+	table, compressed []byte
+	// changes holds what changed since the numbers that VMs hold, nil if that is not retained.
+	changes map[core.ConfigNumber]*wire.RouteChange
+}
+
+// routeForm is the form in which a route table is sent to a VM.
+type routeForm string
+
+const (
+	wholeForm      routeForm = "whole"
+	compressedForm routeForm = "compressed"
+	changeForm     routeForm = "change"
+	pushedForm     routeForm = "pushed"
+)
+
+// load drops the forms of an older table than that of the state, and returns the latter. The caller
+// holds the lock.
+func (pages *routePages) load(state *ledger.State) core.RouteTable {
+	routes, _ := state.Routes()
+	if routes.Number != pages.number {
+		pages.number, pages.table, pages.compressed = routes.Number, nil, nil
+		pages.changes = make(map[core.ConfigNumber]*wire.RouteChange)
+	}
+	return routes
+}
+
+// change returns what changed since a number, nil if that is not retained. It returns the time that
+// the encoding took, zero if it was encoded before.
+func (pages *routePages) change(replica *host.Replica, since core.ConfigNumber) (*wire.RouteChange, time.Duration, error) {
+	pages.lock.Lock()
+	defer pages.lock.Unlock()
+	begun := clock.Now()
+	var message *wire.RouteChange
+	var encoded bool
+	var err error
+	replica.View(func(state *ledger.State) {
+		pages.load(state)
+		if message, encoded = pages.changes[since]; encoded {
+			return
+		}
+		if change, retained := state.RouteChange(since); retained {
+			message, err = peer.RouteChangeMessage(change)
+		}
+	})
+	if encoded || err != nil {
+		return message, 0, err
+	}
+	pages.changes[since] = message
+	return message, clock.Now() - begun, nil
+}
+
+// whole returns the JSON of the newest table, compressed if that is asked for, and its number. It
+// returns the time that the encoding took, zero if it was encoded before.
+func (pages *routePages) whole(replica *host.Replica, compressed bool) ([]byte, core.ConfigNumber, time.Duration, error) {
+	pages.lock.Lock()
+	defer pages.lock.Unlock()
+	begun := clock.Now()
+	var routes core.RouteTable
+	replica.View(func(state *ledger.State) { routes = pages.load(state) })
+	if compressed && pages.compressed != nil {
+		return pages.compressed, pages.number, 0, nil
+	}
+	if !compressed && pages.table != nil {
+		return pages.table, pages.number, 0, nil
+	}
+	data, err := json.Marshal(routes)
+	if err != nil {
+		return nil, 0, 0, errors.Wrap(err, "encode routes")
+	}
+	if !compressed {
+		pages.table = data
+		return data, pages.number, clock.Now() - begun, nil
+	}
+	if pages.compressed, err = peer.Compress(data); err != nil {
+		return nil, 0, 0, err
+	}
+	return pages.compressed, pages.number, clock.Now() - begun, nil
+}
+
+// routesPage returns the route table of the local replica: the operator's document, what changed
+// since the number that the VM holds, or the whole table. It returns an error if the VM that fetches
+// the table has not stated that it can apply it.
+func (control *Control) routesPage(replica *host.Replica, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
+	held := core.ConfigNumber(fetch.GetHeldNumber())
+	page := &wire.RoutesPage{}
+	var routes core.RouteTable
+	var document []byte
+	replica.View(func(state *ledger.State) {
+		routes, document = state.Routes()
+		page.Applied = state.Applied()
+		if held == 0 {
+			page.Revisions = peer.RevisionMessages(state.RevisionsSince(0))
+		}
+	})
+	page.Number = uint64(routes.Number)
+	if fetch.GetDocument() {
+		page.Document = document
+		return page, nil
+	}
+	if lacks := routes.Unsupported(peer.FeaturesFromMessage(fetch.GetFeatures())); len(lacks) > 0 {
+		return nil, errors.Errorf("the VM has not stated that it can apply %s", lacks[0])
+	}
+	if held >= routes.Number {
+		return page, nil
+	}
+	if held > 0 && fetch.GetCompressed() {
+		change, encoding, err := control.pages.change(replica, held)
+		if err != nil {
+			return nil, err
+		}
+		if change != nil {
+			page.Number, page.Change = change.GetTo(), change
+			control.countPage(core.ConfigNumber(change.GetTo()), changeForm, len(change.GetChange()), encoding)
+			return page, nil
+		}
+	}
+	data, number, encoding, err := control.pages.whole(replica, fetch.GetCompressed())
+	if err != nil {
+		return nil, err
+	}
+	page.Number = uint64(number)
+	if fetch.GetCompressed() {
+		page.CompressedTable = data
+		control.countPage(number, compressedForm, len(data), encoding)
+	} else {
+		page.Table = data
+		control.countPage(number, wholeForm, len(data), encoding)
+	}
+	return page, nil
+}
+
+// addRoutes adds the number of the newest route table to an event, and what changed since the
+// number that the subscriber was sent last if that is small.
+func (control *Control) addRoutes(event *wire.WatchEvent, subscriber *subscriber, replica *host.Replica) {
+	var routes core.RouteTable
+	replica.View(func(state *ledger.State) { routes, _ = state.Routes() })
+	event.RoutesNumber = uint64(routes.Number)
+	if subscriber.routeChanges && subscriber.routesNumber > 0 && routes.Number > subscriber.routesNumber && len(routes.Unsupported(subscriber.features)) == 0 {
+		change, encoding, err := control.pages.change(replica, subscriber.routesNumber)
+		if err == nil && change != nil && len(change.GetChange()) <= maxPushedBytes {
+			event.RoutesNumber, event.RouteChange = change.GetTo(), change
+			control.countPage(core.ConfigNumber(change.GetTo()), pushedForm, len(change.GetChange()), encoding)
+		}
+	}
+	subscriber.routesNumber = core.ConfigNumber(event.GetRoutesNumber())
+}
+
 // servedPages counts the pages of one number of the route table that this VM has sent. The zero
 // value counts none.
 type servedPages struct {
@@ -27,11 +185,11 @@
 
 // add counts a page. With the first page of another number, it returns the counts of the one
 // before and true.
-func (served *servedPages) add(number core.ConfigNumber, size int, encoding time.Duration) (before pageCounts, ended bool) {
+func (served *servedPages) add(number core.ConfigNumber, size int, encoding time.Duration) (before servedCounts, ended bool) {
 	served.lock.Lock()
 	defer served.lock.Unlock()
 	if number != served.number {
-		before, ended = pageCounts{served.number, served.pages, served.bytes, served.encoding}, served.pages > 0
+		before, ended = servedCounts{served.number, served.pages, served.bytes, served.encoding}, served.pages > 0
 		served.number, served.pages, served.bytes, served.encoding = number, 0, 0, 0
 	}
 	served.pages++
@@ -40,8 +198,8 @@
 	return before, ended
 }
 
-// pageCounts are the pages of one number, their bytes and the time of their encoding.
-type pageCounts struct {
+// servedCounts are the pages of one number, their bytes and the time of their encoding.
+type servedCounts struct {
 	number   core.ConfigNumber
 	pages    int
 	bytes    int
@@ -50,42 +208,15 @@
 
 // countPage counts a page of the route table, and logs the counts of the number before with the
 // first page of another one.
-func (control *Control) countPage(number core.ConfigNumber, size int, encoding time.Duration) {
-	routePages.Inc()
-	routePageBytes.Add(size)
-	routePageSeconds.Add(encoding.Seconds())
+func (control *Control) countPage(number core.ConfigNumber, form routeForm, size int, encoding time.Duration) {
+	kind := "shared"
+	if encoding > 0 {
+		kind = "new"
+	}
+	pageCounts.Inc(string(form), kind)
+	pageBytes.Add(string(form), kind, size)
+	pageSeconds.Add(encoding.Seconds())
 	if before, ended := control.served.add(number, size, encoding); ended {
 		control.options.Logger.Info("The pages of a route table were sent.", "number", before.number, "pages", before.pages, "bytes", before.bytes, "encoding_millis", before.encoding.Milliseconds())
 	}
 }
-
-// routesPage returns the route table of the local replica, as the operator's document or
-// encoded as JSON, with all revisions. It returns an error if the VM that fetches the table has
-// not stated that it can apply it.
-func (control *Control) routesPage(replica *host.Replica, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
-	var routes core.RouteTable
-	page := &wire.RoutesPage{}
-	replica.View(func(state *ledger.State) {
-		var original []byte
-		routes, original = state.Routes()
-		if fetch.GetDocument() {
-			page.Document = original
-		}
-		page.Revisions = peer.RevisionMessages(state.RevisionsSince(0))
-	})
-	page.Number = uint64(routes.Number)
-	if fetch.GetDocument() {
-		return page, nil
-	}
-	if lacks := routes.Unsupported(peer.FeaturesFromMessage(fetch.GetFeatures())); len(lacks) > 0 {
-		return nil, errors.Errorf("the VM has not stated that it can apply %s", lacks[0])
-	}
-	begun := clock.Now()
-	table, err := json.Marshal(routes)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode routes")
-	}
-	page.Table = table
-	control.countPage(routes.Number, len(table), clock.Now()-begun)
-	return page, nil
-}
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -81,7 +81,8 @@
 const confirmTimeout = 900 * time.Millisecond
 
 // confirmedPage returns the newest route table, from this VM if a majority confirms that it
-// leads and otherwise from the leader. It returns ErrUnconfirmed if neither succeeds.
+// leads or that it holds all that the leader holds, and otherwise from the leader. It returns
+// ErrUnconfirmed if neither succeeds.
 func (control *Control) confirmedPage(ctx context.Context, fetch *wire.RoutesFetch) (*wire.RoutesPage, error) {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -96,7 +97,12 @@
 	if leader == "" || leader == control.options.VM {
 		return nil, ErrUnconfirmed
 	}
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: true, Document: fetch.GetDocument(), Features: fetch.GetFeatures()}}}
+	if control.holdsAllOf(ctx, replica, leader) {
+		return control.routesPage(replica, fetch)
+	}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
+		Confirm: true, Document: fetch.GetDocument(), Features: fetch.GetFeatures(), HeldNumber: fetch.GetHeldNumber(), Compressed: fetch.GetCompressed(),
+	}}}
 	response, err := control.options.Calls.Call(ctx, leader, request)
 	if err != nil {
 		return nil, errors.Join(ErrUnconfirmed, err)
@@ -104,6 +110,48 @@
 	return response.GetRoutesPage(), nil
 }
 
+// catchUpTimeout is the time for which a confirmed read waits for what the leader has applied. The
+// heartbeat of the leader, which brings it, comes every 100 ms.
+const catchUpTimeout = 250 * time.Millisecond
+
+// holdsAllOf asks the leader, which a majority confirms, for the last command that it has applied,
+// and waits until this VM has applied it too. The leader then sends no table, which many VMs that
+// start at once would all get from it. It returns false if that fails.
+func (control *Control) holdsAllOf(ctx context.Context, replica *host.Replica, leader core.VMID) bool {
+	var held core.ConfigNumber
+	replica.View(func(state *ledger.State) {
+		routes, _ := state.Routes()
+		held = routes.Number
+	})
+	if held == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
+		Confirm: true, HeldNumber: uint64(held), Compressed: true, Features: peer.FeatureMessages(core.SupportedFeatures()),
+	}}}
+	response, err := control.options.Calls.Call(ctx, leader, request)
+	index := response.GetRoutesPage().GetApplied()
+	if err != nil || index == 0 { // a leader of an older build does not state it
+		return false
+	}
+	changes, cancelChanges := replica.Subscribe()
+	defer cancelChanges()
+	for {
+		var applied uint64
+		replica.View(func(state *ledger.State) { applied = state.Applied() })
+		if applied >= index {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changes:
+		}
+	}
+}
+
 // answerRoutesFetch returns the route table to another VM, confirmed by a majority if the
 // request asks for that.
 func (control *Control) answerRoutesFetch(ctx context.Context, request *wire.RoutesFetch) (*wire.RoutesPage, error) {
@@ -245,9 +293,8 @@
 	if !ok {
 		return
 	}
+	control.addRoutes(event, subscriber, replica)
 	replica.View(func(state *ledger.State) {
-		routes, _ := state.Routes()
-		event.RoutesNumber = uint64(routes.Number)
 		revisions := state.RevisionsSince(subscriber.revisionIndex)
 		event.Revisions = peer.RevisionMessages(revisions)
 		if len(revisions) > 0 {
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -69,6 +69,7 @@
 	running sync.WaitGroup
 	crashes crashes
 	quotas  quotas
+	routes  heldRoutes
 	// originQueries counts the questions about the origins of streams in flight.
 	originQueries atomic.Int32
 
@@ -150,6 +151,7 @@
 	for follower.ctx.Err() == nil {
 		request := &wire.Request{Body: &wire.Request_Watch{Watch: &wire.Watch{
 			Vm: string(follower.options.VM), Zone: string(follower.options.Zone), HandoverAddress: follower.options.HandoverAddress,
+			RouteChanges: true, Features: peer.FeatureMessages(core.SupportedFeatures()),
 		}}}
 		err := follower.options.Calls.Stream(follower.ctx, vm, request, func(response *wire.Response) bool {
 			first := !connected
@@ -182,8 +184,7 @@
 	}
 }
 
-// applyWatchEvent updates the table with an event of a control VM and starts a fetch if the
-// VM has a newer route table.
+// applyWatchEvent updates the table with an event of a control VM.
 func (follower *Follower) applyWatchEvent(vm core.VMID, event *wire.WatchEvent) {
 	table := follower.options.Table
 	now := clock.Now()
@@ -218,9 +219,7 @@
 	if message := event.GetHandoverTargets(); message != nil {
 		table.SetHandoverTargets(vm, peer.HandoverTargetsFromMessage(message))
 	}
-	if number := core.ConfigNumber(event.GetRoutesNumber()); number > table.RoutesNumber() {
-		follower.startFetch(vm, number)
-	}
+	follower.applyRoutesNumber(vm, core.ConfigNumber(event.GetRoutesNumber()), event.GetRouteChange())
 }
 
 // applyOwner stores the owner of a zone's engines or of the quotas.
--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -15,14 +15,20 @@
 	"github.com/dandelionring/dandelionring/internal/telemetry"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 )
 
-// fetchTimeout bounds one fetch of the route table.
-const fetchTimeout = 1500 * time.Millisecond
+const (
+	// fetchTimeout bounds one fetch of the route table.
+	fetchTimeout = 1500 * time.Millisecond
+	// fetchRetryDelay is the delay after a failed fetch. An election takes 0.5 s to 1.5 s.
+	fetchRetryDelay = 100 * time.Millisecond
+)
 
 var (
 	// routeFetches counts the fetches of the route table by their result, "newer", "not newer" or
-	// "failed", and by the control VM that was asked.
+	// "failed", and by the control VM that was asked. Changes that came with events have the result
+	// "pushed".
 	routeFetches = telemetry.NewCounterFamily("dandelionring_routes_fetches_total", "result", "control")
 	// routeWaits holds the times from the statement of a number to its table, or a later one, in
 	// force, and routeBytes the sizes of the fetched pages.
@@ -69,6 +75,104 @@
 	return wait
 }
 
+// heldRoutes is the route table in force with its digest. The zero value holds none.
+type heldRoutes struct {
+	// lock has position 0 in the lock order. It is held while a table takes effect.
+	lock  sync.Mutex
+	table routediff.Table
+	// misfit is set after a change has led to another table than it was computed for. The whole
+	// table is fetched then.
+	misfit bool
+}
+
+// held returns the number for which changes may be fetched, zero if the whole table is needed.
+func (routes *heldRoutes) held() core.ConfigNumber {
+	routes.lock.Lock()
+	defer routes.lock.Unlock()
+	if routes.misfit {
+		return 0
+	}
+	return routes.table.Number()
+}
+
+// arrival describes how a route table has reached this VM.
+type arrival struct {
+	control core.VMID
+	// form is "pushed", "change" or "whole".
+	form      string
+	confirmed bool
+	bytes     int
+	// begun is the time at which the fetch began, and arrived that at which the message was there.
+	begun, arrived time.Duration
+}
+
+// applyRoutesNumber notes the number that a control VM states, puts the table in force if the event
+// has what changed, and has it fetched otherwise.
+func (follower *Follower) applyRoutesNumber(vm core.VMID, number core.ConfigNumber, change *wire.RouteChange) {
+	now := clock.Now()
+	table := follower.options.Table
+	if number <= table.RoutesNumber() {
+		return
+	}
+	follower.lock.Lock()
+	follower.waits.state(now, number)
+	follower.lock.Unlock()
+	if change != nil && core.ConfigNumber(change.GetTo()) > table.RoutesNumber() {
+		if err := follower.applyChange(change, arrival{control: vm, form: "pushed", bytes: len(change.GetChange()), begun: now, arrived: now}); err != nil {
+			follower.options.Logger.Info("A change of the route table was not applied.", "control", vm, "from", change.GetFrom(), "to", change.GetTo(), "in_force", table.RoutesNumber(), "error", err)
+		}
+	}
+	if number > table.RoutesNumber() {
+		follower.startFetch(vm, number)
+	}
+}
+
+// applyChange puts the table in force to which a change leads. It returns an error if the change
+// does not begin with the table in force, or leads to another table than stated.
+func (follower *Follower) applyChange(message *wire.RouteChange, arrival arrival) error {
+	routes := &follower.routes
+	routes.lock.Lock()
+	defer routes.lock.Unlock()
+	held := routes.table.Number()
+	if core.ConfigNumber(message.GetTo()) <= held {
+		return nil
+	}
+	if held == 0 || routes.misfit || core.ConfigNumber(message.GetFrom()) > held {
+		return errors.New("the table that it begins with is not in force")
+	}
+	change, err := peer.RouteChangeFromMessage(message)
+	if err != nil {
+		return err
+	}
+	next, err := routes.table.Apply(change)
+	if err != nil {
+		routes.misfit = true
+		return errors.Wrap(err, "apply change")
+	}
+	follower.putInForce(next, arrival)
+	return nil
+}
+
+// putInForce puts a table in force if it is newer than the present one, and returns whether it did.
+// The caller holds the lock of the routes.
+func (follower *Follower) putInForce(next routediff.Table, arrival arrival) bool {
+	table := next.Routes()
+	if !follower.options.Table.SetRoutes(table) {
+		return false
+	}
+	follower.routes.table, follower.routes.misfit = next, false
+	follower.setLimits(table)
+	follower.options.Changed(table)
+	routeBytes.Update(float64(arrival.bytes))
+	follower.options.Logger.Info("A route table is in force.", "number", table.Number, "routes", len(table.Routes), "workspaces", len(table.Workspaces),
+		"control", arrival.control, "confirmed", arrival.confirmed, "form", arrival.form, "bytes", arrival.bytes, "wait_millis", follower.endWaits(table.Number).Milliseconds(),
+		"fetch_millis", (arrival.arrived - arrival.begun).Milliseconds(), "apply_millis", (clock.Now() - arrival.arrived).Milliseconds())
+	if arrival.form == "pushed" {
+		routeFetches.Inc("pushed", string(arrival.control))
+	}
+	return true
+}
+
 // startFetch fetches the route table in the background and retries until the table has at
 // least the number that a control VM has reported. The first table must be confirmed by a
 // majority: a partitioned control VM may hold an old one, and this VM may have served a
@@ -78,7 +182,6 @@
 	defer follower.lock.Unlock()
 	follower.wantedNumber = max(follower.wantedNumber, number)
 	follower.fetchSource = vm
-	follower.waits.state(clock.Now(), number)
 	if follower.fetching || follower.ctx.Err() != nil {
 		return
 	}
@@ -89,8 +192,9 @@
 			if ended {
 				return
 			}
-			if err := follower.fetchRoutes(vm); err != nil {
+			if _, err := follower.fetchRoutes(vm); err != nil {
 				follower.options.Logger.Warn("The route table could not be fetched.", "control", vm, "number", number, "error", err)
+				routeFetches.Inc("failed", string(vm))
 				follower.rotateSource(vm)
 				sleep(follower.ctx, fetchRetryDelay)
 			}
@@ -98,9 +202,6 @@
 	})
 }
 
-// fetchRetryDelay is the delay after a failed fetch. An election takes 0.5 s to 1.5 s.
-const fetchRetryDelay = 100 * time.Millisecond
-
 // rotateSource makes the next fetch ask a control VM other than the one that failed.
 func (follower *Follower) rotateSource(failed core.VMID) {
 	follower.lock.Lock()
@@ -124,42 +225,56 @@
 	return follower.fetchSource, follower.wantedNumber, false
 }
 
-// fetchRoutes fetches the route table from a control VM and puts it in force if it is
-// newer than the present one. It returns an error if the VM does not answer or has none.
-func (follower *Follower) fetchRoutes(vm core.VMID) error {
+// fetchRoutes fetches the route table from a control VM and puts it in force if it is newer than
+// the present one. It returns the number of the table of the control VM, or an error if the VM does
+// not answer, has none, or has a change that does not fit.
+func (follower *Follower) fetchRoutes(vm core.VMID) (core.ConfigNumber, error) {
+	arrival := arrival{control: vm, form: "whole", confirmed: follower.options.Table.RoutesNumber() == 0, begun: clock.Now()}
+	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
+		Confirm: arrival.confirmed, Features: peer.FeatureMessages(core.SupportedFeatures()), HeldNumber: uint64(follower.routes.held()), Compressed: true,
+	}}}
 	ctx, cancel := context.WithTimeout(follower.ctx, fetchTimeout)
 	defer cancel()
-	begun := clock.Now()
-	first := follower.options.Table.RoutesNumber() == 0
-	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{Confirm: first, Features: peer.FeatureMessages(core.SupportedFeatures())}}}
 	response, err := follower.options.Calls.Call(ctx, vm, request)
 	if err != nil {
-		routeFetches.Inc("failed", string(vm))
-		return errors.Wrap(err, "fetch routes")
+		return 0, errors.Wrap(err, "fetch routes")
 	}
-	fetched := clock.Now()
+	arrival.arrived = clock.Now()
 	page := response.GetRoutesPage()
-	if page.GetNumber() == 0 {
-		routeFetches.Inc("failed", string(vm))
-		return errors.New("the control VM has no route table yet")
-	}
-	var routes core.RouteTable
-	if err := json.Unmarshal(page.GetTable(), &routes); err != nil {
-		routeFetches.Inc("failed", string(vm))
-		return errors.Wrap(err, "decode routes")
+	number := core.ConfigNumber(page.GetNumber())
+	if number == 0 {
+		return 0, errors.New("the control VM has no route table yet")
 	}
 	for _, message := range page.GetRevisions() {
 		follower.options.Table.SetRevision(peer.RevisionFromMessage(message))
 	}
-	if !follower.options.Table.SetRoutes(routes) {
+	if number <= follower.options.Table.RoutesNumber() {
 		routeFetches.Inc("not newer", string(vm))
-		return nil
+		return number, nil
+	}
+	if change := page.GetChange(); change != nil {
+		arrival.form, arrival.bytes = "change", len(change.GetChange())
+		err = follower.applyChange(change, arrival)
+	} else {
+		arrival.bytes = len(page.GetTable()) + len(page.GetCompressedTable())
+		err = follower.applyTable(page, arrival)
+	}
+	if err != nil {
+		return 0, err
 	}
 	routeFetches.Inc("newer", string(vm))
-	routeBytes.Update(float64(len(page.GetTable())))
-	follower.options.Logger.Info("A route table is in force.", "number", routes.Number, "routes", len(routes.Routes), "workspaces", len(routes.Workspaces), "control", vm, "confirmed", first,
-		"wait_millis", follower.endWaits(routes.Number).Milliseconds(), "fetch_millis", (fetched - begun).Milliseconds(), "apply_millis", (clock.Now() - fetched).Milliseconds(), "bytes", len(page.GetTable()))
-	follower.setLimits(routes)
-	follower.options.Changed(routes)
+	return number, nil
+}
+
+// applyTable puts the whole table of a page in force if it is newer than the present one.
+func (follower *Follower) applyTable(page *wire.RoutesPage, arrival arrival) error {
+	table, err := peer.RouteTableFromMessage(page)
+	if err != nil {
+		return err
+	}
+	next := routediff.NewTable(table)
+	follower.routes.lock.Lock()
+	defer follower.routes.lock.Unlock()
+	follower.putInForce(next, arrival)
 	return nil
 }
--- a/pkg/replica/ledger/route.go
+++ b/pkg/replica/ledger/route.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 )
 
 // PutRoutes replaces the route table if the number of the new table, which the operator
@@ -53,22 +54,53 @@
 // routes holds the data whose numbers operators choose: the route table and the
 // revisions of adapter weights.
 type routes struct {
-	table     core.RouteTable
+	table     routediff.Table
 	document  []byte
 	hash      [sha256.Size]byte
 	revisions map[core.WeightKey]Revision
+	// changes holds the last changes of the table in their order, and changedEntries is the number
+	// of entries in them. They are not part of a snapshot.
+	changes        []routediff.Change
+	changedEntries int
 }
 
+const (
+	// maxRouteChanges bounds the changes of the route table that a State retains. A VM that is
+	// further behind needs the whole table.
+	maxRouteChanges = 128
+	// minChangedEntries is the number of entries in them that may be retained in any case. Beyond
+	// that, the changes are retained while they have less than half of the entries of the table.
+	minChangedEntries = 64
+)
+
 func (routes *routes) put(command PutRoutes) PutRoutesResult {
 	hash := sha256.Sum256(command.Document)
-	if command.Table.Number <= routes.table.Number {
-		conflict := command.Table.Number == routes.table.Number && hash != routes.hash
-		return PutRoutesResult{Number: routes.table.Number, Conflict: conflict}
+	current := routes.table.Number()
+	if command.Table.Number <= current {
+		conflict := command.Table.Number == current && hash != routes.hash
+		return PutRoutesResult{Number: current, Conflict: conflict}
 	}
-	routes.table, routes.document, routes.hash = command.Table, command.Document, hash
+	next, change := routes.table.Replace(command.Table)
+	routes.table, routes.document, routes.hash = next, command.Document, hash
+	routes.retain(change)
 	return PutRoutesResult{Changed: true, Number: command.Table.Number}
 }
 
+// retain adds the last change of the table to the retained ones and drops the oldest ones that are
+// too many.
+func (routes *routes) retain(change routediff.Change) {
+	routes.changes = append(routes.changes, change)
+	routes.changedEntries += change.Entries()
+	table := routes.table.Routes()
+	limit := max(minChangedEntries, (len(table.Routes)+len(table.Services)+len(table.Workspaces))/2)
+	dropped := 0
+	for dropped < len(routes.changes) && (len(routes.changes)-dropped > maxRouteChanges || routes.changedEntries > limit) {
+		routes.changedEntries -= routes.changes[dropped].Entries()
+		dropped++
+	}
+	routes.changes = slices.Delete(routes.changes, 0, dropped)
+}
+
 func (routes *routes) announceRevision(index uint64, command AnnounceRevision) AnnounceRevisionResult {
 	current := routes.revisions[command.Weights]
 	if command.Revision <= current.Revision {
@@ -85,7 +117,22 @@
 // Callers must not modify either. The number of the table is zero if no table has been
 // accepted yet.
 func (state *State) Routes() (core.RouteTable, []byte) {
-	return state.routes.table, state.routes.document
+	return state.routes.table.Routes(), state.routes.document
+}
+
+// RouteChange returns what changed since the route table with a number that this state had, or one
+// between two such numbers. It returns false if that is not retained, or if there is no later
+// table. Callers must not modify the change.
+func (state *State) RouteChange(since core.ConfigNumber) (routediff.Change, bool) {
+	changes := state.routes.changes
+	if since >= state.routes.table.Number() || len(changes) == 0 || since < changes[0].From {
+		return routediff.Change{}, false
+	}
+	first := len(changes) - 1
+	for changes[first].From > since {
+		first--
+	}
+	return routediff.Join(changes[first:]), true
 }
 
 // RevisionsSince returns the newest revisions that were announced after the given log
@@ -135,7 +182,7 @@
 
 func (state *State) storeRoutes() storedRoutes {
 	stored := storedRoutes{
-		Table: state.routes.table, Document: bytes.Clone(state.routes.document), Revisions: state.RevisionsSince(0),
+		Table: state.routes.table.Routes(), Document: bytes.Clone(state.routes.document), Revisions: state.RevisionsSince(0),
 	}
 	if len(stored.Table.Workspaces) > 0 {
 		stored.Table, stored.KeyedTable = core.RouteTable{}, &jsonTable{stored.Table}
@@ -144,10 +191,11 @@
 }
 
 func (routes *routes) load(stored storedRoutes) {
-	routes.table, routes.document = stored.Table, stored.Document
+	table := stored.Table
 	if stored.KeyedTable != nil {
-		routes.table = stored.KeyedTable.table
+		table = stored.KeyedTable.table
 	}
+	routes.table, routes.document = routediff.NewTable(table), stored.Document
 	routes.hash = sha256.Sum256(stored.Document)
 	routes.revisions = make(map[core.WeightKey]Revision, len(stored.Revisions))
 	for _, revision := range stored.Revisions {
