Reject commands that are too large for a message between VMs

Cause: the leader appends a command of any size to its log. One over the 4 MiB of a message reaches no follower, and all later ones wait behind it. Class: a limit that is checked after the point of no return.

--- a/internal/host/client.go
+++ b/internal/host/client.go
@@ -63,9 +63,9 @@
 // ErrUncertain if any attempt may have been committed. Otherwise it is ErrNotCommitted
 // if the last VM that was called answered as the leader, and ErrNoQuorum if not.
 func (client *Client) Propose(ctx context.Context, shard core.ShardID, command ledger.Command) (ledger.Result, error) {
-	data, err := ledger.EncodeCommand(command)
+	data, err := encodeCommand(command)
 	if err != nil {
-		return ledger.Result{}, errors.Join(ErrNotCommitted, err)
+		return ledger.Result{}, err
 	}
 	request := &wire.Request{Body: &wire.Request_Propose{Propose: &wire.Propose{
 		Shard: uint32(shard), Command: data, OriginVm: string(client.vm),
--- a/internal/host/cluster_test.go
+++ b/internal/host/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -20,7 +21,11 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
-// network connects the hosts of a test and encodes the messages between them.
+// maxFrameBytes is the largest message that a link between VMs carries, as in package peer.
+const maxFrameBytes = 4 << 20
+
+// network connects the hosts of a test. Like the links between VMs it does not carry messages over
+// maxFrameBytes.
 type network struct {
 	lock  sync.Mutex // leaf lock: no other lock is taken while it is held
 	hosts map[core.VMID]*Host
@@ -60,8 +65,12 @@
 	if host == nil {
 		return
 	}
-	for _, request := range MessagesToWire(messages) {
-		host.Handle(context.Background(), &wire.Request{Body: &wire.Request_Replicate{Replicate: request}})
+	for _, part := range MessagesToWire(messages) {
+		request := &wire.Request{Body: &wire.Request_Replicate{Replicate: part}}
+		if proto.Size(request) > maxFrameBytes {
+			return
+		}
+		host.Handle(context.Background(), request)
 	}
 }
 
--- a/internal/host/convert.go
+++ b/internal/host/convert.go
@@ -16,6 +16,9 @@
 	chunkBytes = 1 << 20
 	// maxRequestBytes is the size above which a further request is started.
 	maxRequestBytes = 2 << 20
+	// maxCommandBytes bounds an encoded command. A larger one could not be sent to any follower,
+	// and no later command would be committed either.
+	maxCommandBytes = 3 << 20
 	// maxSnapshotBytes bounds the memory that a message can make the receiver
 	// allocate.
 	maxSnapshotBytes = 1 << 30
--- a/internal/host/errors.go
+++ b/internal/host/errors.go
@@ -11,6 +11,9 @@
 	// ErrNoQuorum means that no leader with a quorum was found. The command has no
 	// effect and never will.
 	ErrNoQuorum = errors.New("the shard has no leader with a quorum")
+	// ErrTooLarge means that the command is over the size that the VMs can send to each other. It
+	// has no effect and never will.
+	ErrTooLarge = errors.New("the command is too large")
 	// ErrNotSent means that a request did not reach the other VM. A caller only wraps
 	// it if that is certain; after any other error of a call the outcome of the
 	// command is uncertain.
--- a/internal/host/replica.go
+++ b/internal/host/replica.go
@@ -149,13 +149,26 @@
 	if err != nil || decided {
 		return result, err
 	}
-	data, err := ledger.EncodeCommand(command)
+	data, err := encodeCommand(command)
 	if err != nil {
-		return ledger.Result{}, errors.Join(ErrNotCommitted, err)
+		return ledger.Result{}, err
 	}
 	return replica.commit(ctx, data, 0)
 }
 
+// encodeCommand returns a command as it is written to the log. It returns ErrNotCommitted if that is
+// not possible, and also ErrTooLarge if it is over maxCommandBytes.
+func encodeCommand(command ledger.Command) ([]byte, error) {
+	data, err := ledger.EncodeCommand(command)
+	if err != nil {
+		return nil, errors.Join(ErrNotCommitted, err)
+	}
+	if len(data) > maxCommandBytes {
+		return nil, errors.Join(ErrNotCommitted, errors.Wrapf(ErrTooLarge, "%d bytes, at most %d", len(data), maxCommandBytes))
+	}
+	return data, nil
+}
+
 // prepareListChange converts a replaced list into the change that is committed. It
 // confirms the leadership first, because a deposed leader would reject configuration
 // numbers that it does not know. decided is true if the result is known without a
