Replicate what changes in a route table instead of the table

Callers saw: with 2,849 routes, changes that took up to 4.4 s until their acknowledgement, control VMs that lost the leader, and 242 of 280 MB of memory after 20 changes; tables of 8,400 routes could not be committed. Cause: the command of a change holds the table and the operator's document as a whole, 2.3 times the document. It is encoded, sent to each control VM, synced, decoded there, and kept in the log in memory. The same class as the distribution to entry VMs: the whole instead of the change. Change: the control VM that gets the table proposes the changed entries and the edits of the document against its own state. A leader refuses both forms while it knows a control VM that has not stated that it can apply them.

--- a/internal/control/features_test.go
+++ b/internal/control/features_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/dandelionring/dandelionring/internal/clock"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
@@ -25,12 +26,17 @@
 			for line := range strings.Lines(data.Input) {
 				fields := strings.Fields(line)
 				switch {
-				case fields[0] == "commit":
+				case strings.HasPrefix(fields[0], "commit"):
 					table := core.RouteTable{Number: 1}
 					for _, name := range fields[1:] {
 						table.Workspaces = append(table.Workspaces, core.Workspace{Workspace: core.WorkspaceID(name)})
 					}
-					fmt.Fprintf(&out, "%s: %q\n", strings.TrimSpace(line), peers.RefuseCommand(ledger.Command{PutRoutes: &ledger.PutRoutes{Table: table}}))
+					command := ledger.Command{PutRoutes: &ledger.PutRoutes{Table: table, Compressed: fields[0] == "commit-compressed"}}
+					if fields[0] == "commit-change" {
+						_, change := routediff.Table{}.Replace(table)
+						command = ledger.Command{ChangeRoutes: &ledger.ChangeRoutes{Change: change}}
+					}
+					fmt.Fprintf(&out, "%s: %q\n", strings.TrimSpace(line), peers.RefuseCommand(command))
 				case len(fields) > 1 && (fields[1] == "holds" || fields[1] == "mentioned"):
 					// A VM that was heard of some time ago.
 					ago, err := time.ParseDuration(fields[2])
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -162,26 +162,47 @@
 }
 
 // RefuseCommand returns why this VM, as the leader, must not commit a command: a control VM in
-// contact has not stated that it can apply the route table. It returns "" if the command may be
-// committed.
+// contact has not stated that it can apply the route table, or a known one not that it can apply the
+// form of the command. It returns "" if the command may be committed.
 func (peers *Peers) RefuseCommand(command ledger.Command) string {
-	if command.PutRoutes == nil {
+	if command.ChangeRoutes == nil && command.PutRoutes == nil {
 		return ""
 	}
 	peers.lock.Lock()
 	defer peers.lock.Unlock()
 	now := clock.Now()
 	for vm, peer := range peers.peers {
-		if peer.lastHeard == alwaysHeard || now-peer.lastHeard > maxContactGap {
+		if peer.lastHeard == alwaysHeard {
 			continue
 		}
-		if lacks := command.PutRoutes.Table.Unsupported(peer.features); len(lacks) > 0 {
+		if lacks := lackingFeatures(command, peer, now); len(lacks) > 0 {
 			return fmt.Sprintf("the control VM %s has not stated that it can apply %s", vm, lacks[0])
 		}
 	}
 	return ""
 }
 
+// lackingFeatures returns the features of a command that a control VM has not stated. A VM that
+// cannot apply the form of a command and is out of contact would keep an older table once it is
+// back, so it counts for as long as it is known.
+func lackingFeatures(command ledger.Command, peer *knownPeer, now time.Duration) []core.Feature {
+	var lacks []core.Feature
+	if now-peer.lastHeard <= maxContactGap {
+		var table core.RouteTable
+		if command.PutRoutes != nil {
+			table = command.PutRoutes.Table
+		} else {
+			table.Workspaces = command.ChangeRoutes.Change.Workspaces
+		}
+		lacks = table.Unsupported(peer.features)
+	}
+	compact := command.ChangeRoutes != nil || command.PutRoutes != nil && command.PutRoutes.Compressed
+	if compact && !slices.Contains(peer.features, core.RouteChangeFeature) {
+		lacks = append(lacks, core.RouteChangeFeature)
+	}
+	return lacks
+}
+
 // statuses returns, sorted by id, the zone of each control VM, the time of its last lease
 // and the time for which it has been heard of without a gap.
 func (peers *Peers) statuses(now time.Duration) []ownership.VMState {
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -33,20 +33,62 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	result, err := control.options.Commands.Propose(ctx, 0, ledger.Command{PutRoutes: &put})
+	result, form, err := control.commitRoutes(ctx, put)
 	if err != nil {
-		control.options.Logger.Warn("A route table was not committed.", "number", put.Table.Number, "error", err)
+		control.options.Logger.Warn("A route table was not committed.", "number", put.Table.Number, "form", form, "error", err)
 		return ledger.PutRoutesResult{}, nil, errors.Wrap(err, "commit route table")
 	}
-	if result.PutRoutes == nil {
-		return ledger.PutRoutesResult{}, nil, errors.Wrap(host.ErrNotCommitted, result.Fault)
-	}
-	control.options.Logger.Info("A route table was processed.", "number", put.Table.Number, "changed", result.PutRoutes.Changed,
-		"in_force", result.PutRoutes.Number, "conflict", result.PutRoutes.Conflict)
-	if result.PutRoutes.Changed {
+	control.options.Logger.Info("A route table was processed.", "number", put.Table.Number, "changed", result.Changed,
+		"in_force", result.Number, "conflict", result.Conflict, "form", form)
+	if result.Changed {
 		control.recordRoutes(put.Table)
 	}
-	return *result.PutRoutes, nil, nil
+	return result, nil, nil
+}
+
+// commitRoutes commits a route table in the smallest form that all control VMs can apply: what
+// changes, the table compressed, or the table. It returns the form.
+func (control *Control) commitRoutes(ctx context.Context, put ledger.PutRoutes) (ledger.PutRoutesResult, routeForm, error) {
+	var fault string
+	for _, form := range []routeForm{changeForm, compressedForm, wholeForm} {
+		command := ledger.Command{PutRoutes: &put}
+		switch form {
+		case changeForm:
+			change, ok := control.prepareRoutes(put)
+			if !ok {
+				continue
+			}
+			command = ledger.Command{ChangeRoutes: &change}
+		case compressedForm:
+			compressed := put
+			compressed.Compressed = true
+			command.PutRoutes = &compressed
+		}
+		result, err := control.options.Commands.Propose(ctx, 0, command)
+		if err != nil {
+			return ledger.PutRoutesResult{}, form, err
+		}
+		if result.PutRoutes != nil && !result.PutRoutes.Stale {
+			return *result.PutRoutes, form, nil
+		}
+		fault = result.Fault
+		control.options.Logger.Info("A form of a route table was not accepted.", "number", put.Table.Number, "form", form, "stale", result.PutRoutes != nil, "reason", fault)
+	}
+	return ledger.PutRoutesResult{}, wholeForm, errors.Wrap(host.ErrNotCommitted, fault)
+}
+
+// prepareRoutes returns the command that states what a route table changes in that of the local
+// replica, and false if there is none or if the command would be no smaller than the table.
+func (control *Control) prepareRoutes(put ledger.PutRoutes) (ledger.ChangeRoutes, bool) {
+	replica, ok := control.options.Host.Replica(0)
+	if !ok {
+		return ledger.ChangeRoutes{}, false
+	}
+	var base ledger.RouteBase
+	replica.View(func(state *ledger.State) { base = state.RouteBase() })
+	change, ok := base.Prepare(put)
+	entries := len(put.Table.Routes) + len(put.Table.Services) + len(put.Table.Workspaces)
+	return change, ok && 2*change.Change.Entries() <= entries
 }
 
 // CommitRevision commits the newest revision of an adapter. It returns an error if the
--- a/pkg/replica/ledger/command.go
+++ b/pkg/replica/ledger/command.go
@@ -24,6 +24,10 @@
 	// KeyedRoutes is the encoded form of a PutRoutes whose table has workspaces. A build that
 	// ignores workspaces must not apply the table without them; to it, the command is empty.
 	KeyedRoutes *PutRoutes `json:",omitempty"`
+	// CompressedRoutes is the encoded form of a PutRoutes with Compressed set. To a build that does
+	// not know it, the command is empty, and so is one with ChangeRoutes.
+	CompressedRoutes []byte        `json:",omitempty"`
+	ChangeRoutes     *ChangeRoutes `json:",omitempty"`
 }
 
 // PutList replaces one of the two configuration lists if Replaces is the current
--- a/pkg/replica/ledger/route.go
+++ b/pkg/replica/ledger/route.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/bytediff"
 	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 )
 
@@ -19,6 +20,19 @@
 	Table core.RouteTable
 	// Document is the table as the operator sent it. It is stored and returned unchanged.
 	Document []byte
+	// Compressed makes the log hold the command in a form that builds without RouteChangeFeature
+	// do not know.
+	Compressed bool `json:"-"`
+}
+
+// ChangeRoutes replaces the route table like a PutRoutes, and states only what changes. It has no
+// effect, and a result with Stale set, if the current table is not the one that it was prepared for.
+type ChangeRoutes struct {
+	// Change begins with the number of the current table.
+	Change routediff.Change
+	// Edits make the new document out of the current one, and DocumentHash is the SHA-256 of it.
+	Edits        []bytediff.Edit
+	DocumentHash []byte
 }
 
 // PutRoutesResult is the result of PutRoutes.
@@ -29,6 +43,9 @@
 	Number core.ConfigNumber
 	// Conflict is set if the current table has the same number and other content.
 	Conflict bool
+	// Stale is set if a ChangeRoutes was prepared for another table than the current one, which has
+	// a lower number than the new one.
+	Stale bool `json:",omitempty"`
 }
 
 // AnnounceRevision announces a new revision of an adapter's weights.
@@ -75,17 +92,82 @@
 
 func (routes *routes) put(command PutRoutes) PutRoutesResult {
 	hash := sha256.Sum256(command.Document)
-	current := routes.table.Number()
-	if command.Table.Number <= current {
-		conflict := command.Table.Number == current && hash != routes.hash
-		return PutRoutesResult{Number: current, Conflict: conflict}
+	if command.Table.Number <= routes.table.Number() {
+		return routes.notNewer(command.Table.Number, hash)
 	}
 	next, change := routes.table.Replace(command.Table)
-	routes.table, routes.document, routes.hash = next, command.Document, hash
-	routes.retain(change)
+	routes.set(next, change, command.Document, hash)
 	return PutRoutesResult{Changed: true, Number: command.Table.Number}
 }
 
+// notNewer returns the result for a table whose number is not above the current one.
+func (routes *routes) notNewer(number core.ConfigNumber, hash [sha256.Size]byte) PutRoutesResult {
+	current := routes.table.Number()
+	return PutRoutesResult{Number: current, Conflict: number == current && hash != routes.hash}
+}
+
+func (routes *routes) set(table routediff.Table, change routediff.Change, document []byte, hash [sha256.Size]byte) {
+	routes.table, routes.document, routes.hash = table, document, hash
+	routes.retain(change)
+}
+
+// maxDocumentBytes bounds the document that edits may make.
+const maxDocumentBytes = 64 << 20
+
+func (routes *routes) change(command ChangeRoutes) PutRoutesResult {
+	current := routes.table.Number()
+	stale := PutRoutesResult{Number: current, Stale: true}
+	if len(command.DocumentHash) != sha256.Size {
+		return stale
+	}
+	hash := [sha256.Size]byte(command.DocumentHash)
+	if command.Change.To <= current {
+		return routes.notNewer(command.Change.To, hash)
+	}
+	if command.Change.From != current {
+		return stale
+	}
+	next, err := routes.table.Apply(command.Change)
+	if err != nil {
+		return stale
+	}
+	document, err := bytediff.Apply(routes.document, command.Edits, maxDocumentBytes)
+	if err != nil || sha256.Sum256(document) != hash {
+		return stale
+	}
+	routes.set(next, command.Change, document, hash)
+	return PutRoutesResult{Changed: true, Number: command.Change.To}
+}
+
+// RouteBase is a route table that a ChangeRoutes can begin with.
+type RouteBase struct {
+	table    routediff.Table
+	document []byte
+}
+
+// RouteBase returns the current route table and its document.
+func (state *State) RouteBase() RouteBase {
+	return RouteBase{state.routes.table, state.routes.document}
+}
+
+// Number returns the number of the table.
+func (base RouteBase) Number() core.ConfigNumber { return base.table.Number() }
+
+// Prepare returns the command that has the effect of put on this table, and false if there is no
+// table yet.
+func (base RouteBase) Prepare(put PutRoutes) (ChangeRoutes, bool) {
+	if base.Number() == 0 {
+		return ChangeRoutes{}, false
+	}
+	hash := sha256.Sum256(put.Document)
+	command := ChangeRoutes{Change: routediff.Change{From: base.Number(), To: put.Table.Number}, DocumentHash: hash[:]}
+	if put.Table.Number > base.Number() {
+		_, command.Change = base.table.Replace(put.Table)
+		command.Edits = bytediff.Between(base.document, put.Document)
+	}
+	return command, true
+}
+
 // retain adds the last change of the table to the retained ones and drops the oldest ones that are
 // too many.
 func (routes *routes) retain(change routediff.Change) {
--- a/pkg/replica/ledger/script_test.go
+++ b/pkg/replica/ledger/script_test.go
@@ -20,6 +20,8 @@
 	index uint64
 	// follower is a configuration that is kept up to date by deltas.
 	follower core.Config
+	// prepared is a change of the route table that is applied later.
+	prepared ChangeRoutes
 }
 
 // TestScripts checks the results of the state machine: history and conflicts of the
@@ -48,13 +50,18 @@
 	case "crash":
 		return script.crash(data)
 	case "routes":
-		table := core.RouteTable{Number: core.ConfigNumber(intArg(data, "number"))}
-		if data.HasArg("workspace") {
-			rank := int(intArg(data, "rank"))
-			table.Workspaces = []core.Workspace{{Workspace: core.WorkspaceID(stringArg(data, "workspace")), Rank: &rank, Keys: []core.KeyDigest{core.DigestKey("k")}}}
-		}
-		result := script.apply(data, Command{PutRoutes: &PutRoutes{Table: table, Document: []byte(data.Input)}})
+		put := putRoutes(data)
+		put.Compressed = data.HasArg("compressed")
+		result := script.apply(data, Command{PutRoutes: &put})
 		return fmt.Sprintf("changed=%t number=%d conflict=%t", result.PutRoutes.Changed, result.PutRoutes.Number, result.PutRoutes.Conflict)
+	case "prepare":
+		script.prepared, _ = script.state.RouteBase().Prepare(putRoutes(data))
+		return fmt.Sprintf("from %d", script.prepared.Change.From)
+	case "prepared":
+		return script.changeRoutes(data, script.prepared)
+	case "change":
+		change, _ := script.state.RouteBase().Prepare(putRoutes(data))
+		return script.changeRoutes(data, change)
 	case "document":
 		table, document := script.state.Routes()
 		return fmt.Sprintf("%d: %s", table.Number, document)
@@ -94,6 +101,21 @@
 	}
 }
 
+// putRoutes returns the command that the arguments and the document of a test case describe.
+func putRoutes(data *datadriven.TestData) PutRoutes {
+	table := core.RouteTable{Number: core.ConfigNumber(intArg(data, "number"))}
+	if data.HasArg("workspace") {
+		rank := int(intArg(data, "rank"))
+		table.Workspaces = []core.Workspace{{Workspace: core.WorkspaceID(stringArg(data, "workspace")), Rank: &rank, Keys: []core.KeyDigest{core.DigestKey("k")}}}
+	}
+	return PutRoutes{Table: table, Document: []byte(data.Input)}
+}
+
+func (script *script) changeRoutes(data *datadriven.TestData, change ChangeRoutes) string {
+	result := script.apply(data, Command{ChangeRoutes: &change}).PutRoutes
+	return fmt.Sprintf("changed=%t number=%d conflict=%t stale=%t", result.Changed, result.Number, result.Conflict, result.Stale)
+}
+
 func stringArg(data *datadriven.TestData, name string) string {
 	for _, arg := range data.CmdArgs {
 		if arg.Key == name && len(arg.Vals) > 0 {
--- a/pkg/replica/ledger/state.go
+++ b/pkg/replica/ledger/state.go
@@ -1,11 +1,8 @@
 package ledger
 
 import (
-	"encoding/json"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
 
@@ -61,31 +58,6 @@
 	}
 }
 
-// EncodeCommand returns the JSON encoding of a command, as it is written to the log.
-func EncodeCommand(command Command) ([]byte, error) {
-	if put := command.PutRoutes; put != nil && len(put.Table.Workspaces) > 0 {
-		command.PutRoutes, command.KeyedRoutes = nil, put
-	}
-	data, err := json.Marshal(command)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode command")
-	}
-	return data, nil
-}
-
-// DecodeCommand decodes a command that EncodeCommand returned. It returns an error if
-// data is not valid JSON of a command.
-func DecodeCommand(data []byte) (Command, error) {
-	var command Command
-	if err := json.Unmarshal(data, &command); err != nil {
-		return Command{}, errors.Wrap(err, "decode command")
-	}
-	if command.KeyedRoutes != nil {
-		command.PutRoutes, command.KeyedRoutes = command.KeyedRoutes, nil
-	}
-	return command, nil
-}
-
 // Apply applies the command at the given log index and returns its result. The index
 // must increase from call to call. An empty command changes nothing but the index, the
 // time and what expires with them; its result has Fault set.
@@ -116,6 +88,9 @@
 	case command.PutRoutes != nil:
 		result := state.routes.put(*command.PutRoutes)
 		return Result{PutRoutes: &result}
+	case command.ChangeRoutes != nil:
+		result := state.routes.change(*command.ChangeRoutes)
+		return Result{PutRoutes: &result}
 	case command.NameRevision != nil:
 		result := state.routes.announceRevision(index, *command.NameRevision)
 		return Result{NameRevision: &result}
