--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -136,14 +136,14 @@
 		return control.routesPage(replica, fetch)
 	}
 	leader := replica.Leader()
-	if leader == "" || leader == control.options.VM {
+	if leader == "" || leader == control.options.VM || fetch.GetDirect() {
 		return nil, ErrUnconfirmed
 	}
 	if control.holdsAllOf(ctx, replica, leader) {
 		return control.routesPage(replica, fetch)
 	}
 	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
-		Confirm: true, Document: fetch.GetDocument(), Features: fetch.GetFeatures(), HeldNumber: fetch.GetHeldNumber(), Compressed: fetch.GetCompressed(),
+		Confirm: true, Document: fetch.GetDocument(), Features: fetch.GetFeatures(), HeldNumber: fetch.GetHeldNumber(), Compressed: fetch.GetCompressed(), Direct: true,
 	}}}
 	response, err := control.options.Calls.Call(ctx, leader, request)
 	if err != nil {
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
-		Confirm: true, HeldNumber: uint64(held), Compressed: true, Features: peer.FeatureMessages(core.SupportedFeatures()),
+		Confirm: true, HeldNumber: uint64(held), Compressed: true, Direct: true, Features: peer.FeatureMessages(core.SupportedFeatures()),
 	}}}
 	response, err := control.options.Calls.Call(ctx, leader, request)
 	index := response.GetRoutesPage().GetApplied()
