--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -15,6 +15,7 @@
 	"github.com/dandelionring/dandelionring/internal/bench/path"
 	"github.com/dandelionring/dandelionring/internal/bench/policy"
 	"github.com/dandelionring/dandelionring/internal/bench/restart"
+	"github.com/dandelionring/dandelionring/internal/bench/routes"
 )
 
 // benchmark is a named benchmark. run prints one figure per line; ok is false if a
@@ -35,6 +36,7 @@
 	{"batching", figureBenchmark(policy.Batching)},
 	{"path", path.Run},
 	{"config", config.Run},
+	{"config", routes.Run},
 	{"audit", audit.Run},
 	{"membership", claims.Run},
 	{"membership", restart.Run},
--- a/internal/control/distribution_test.go
+++ b/internal/control/distribution_test.go
@@ -96,6 +96,9 @@
 		most = max(most, distribution.bytes[i].Load())
 	}
 	text := fmt.Sprintf("in force at %d of %d", inForce, len(distribution.tables))
+	if encodings := distribution.control.served.counts().encodings; encodings > 1 {
+		text += fmt.Sprintf("; encoded %d times", encodings)
+	}
 	switch {
 	case table.Number == 1:
 	case changed > 1:
@@ -107,6 +110,18 @@
 	return text + "\n"
 }
 
+// awaitLeader waits until a control VM leads its replicas.
+func awaitLeader(t *testing.T, control *Control) {
+	t.Helper()
+	if !await(15*time.Second, func() bool {
+		replica, _ := control.options.Host.Replica(0)
+		_, leads := replica.IsLeader()
+		return leads
+	}) {
+		t.Fatal("no leader")
+	}
+}
+
 // await returns true once the condition holds, and false if it does not within the limit.
 func await(limit time.Duration, condition func() bool) bool {
 	ticker := time.NewTicker(5 * time.Millisecond)
@@ -126,13 +141,7 @@
 	control, stop := startControl(t, t.TempDir())
 	t.Cleanup(stop)
 	distribution := &distribution{t: t, control: control}
-	if !await(15*time.Second, func() bool {
-		replica, _ := control.options.Host.Replica(0)
-		_, leads := replica.IsLeader()
-		return leads
-	}) {
-		t.Fatal("no leader")
-	}
+	awaitLeader(t, control)
 	datadriven.RunTest(t, "testdata/distribution/routes", func(t *testing.T, data *datadriven.TestData) string {
 		if data.Cmd == "follow" {
 			var vms int
--- a/internal/control/log_test.go
+++ b/internal/control/log_test.go
@@ -7,7 +7,6 @@
 	"io/fs"
 	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/cockroachdb/datadriven"
 
@@ -27,13 +26,7 @@
 
 func (logged *loggedControl) start() {
 	logged.control, logged.stop = startControl(logged.t, logged.folder)
-	if !await(15*time.Second, func() bool {
-		replica, _ := logged.control.options.Host.Replica(0)
-		_, leads := replica.IsLeader()
-		return leads
-	}) {
-		logged.t.Fatal("no leader")
-	}
+	awaitLeader(logged.t, logged.control)
 }
 
 // size returns the bytes of all files of the log.
--- a/internal/control/quota_path_test.go
+++ b/internal/control/quota_path_test.go
@@ -53,7 +53,13 @@
 // startControl runs a control VM with its own replicas. The function that it returns stops it.
 func startControl(t *testing.T, folder string) (*Control, func()) {
 	t.Helper()
-	config := host.Config{VM: "c", DiskVMs: []core.VMID{"c"}, NoClaims: true, Directory: folder}
+	return startControlWith(t, host.Config{Directory: folder})
+}
+
+// startControlWith is startControl with settings of the replicas.
+func startControlWith(t *testing.T, config host.Config) (*Control, func()) {
+	t.Helper()
+	config.VM, config.DiskVMs, config.NoClaims = "c", []core.VMID{"c"}, true
 	replicas, closeReplicas, err := host.New(config, noTransport{}, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -176,11 +176,13 @@
 // servedPages counts the pages of one number of the route table that this VM has sent. The zero
 // value counts none.
 type servedPages struct {
-	lock     sync.Mutex // leaf lock: no other lock is taken while it is held
-	number   core.ConfigNumber
-	pages    int
-	bytes    int
-	encoding time.Duration
+	lock   sync.Mutex // leaf lock: no other lock is taken while it is held
+	number core.ConfigNumber
+	pages  int
+	bytes  int
+	// encodings counts the pages that were encoded anew.
+	encodings int
+	encoding  time.Duration
 }
 
 // add counts a page. With the first page of another number, it returns the counts of the one
@@ -189,8 +191,11 @@
 	served.lock.Lock()
 	defer served.lock.Unlock()
 	if number != served.number {
-		before, ended = servedCounts{served.number, served.pages, served.bytes, served.encoding}, served.pages > 0
-		served.number, served.pages, served.bytes, served.encoding = number, 0, 0, 0
+		before, ended = served.current(), served.pages > 0
+		served.number, served.pages, served.bytes, served.encodings, served.encoding = number, 0, 0, 0, 0
+	}
+	if encoding > 0 {
+		served.encodings++
 	}
 	served.pages++
 	served.bytes += size
@@ -198,12 +203,25 @@
 	return before, ended
 }
 
+// counts returns the counts of the last number.
+func (served *servedPages) counts() servedCounts {
+	served.lock.Lock()
+	defer served.lock.Unlock()
+	return served.current()
+}
+
+// current is counts for a caller that holds the lock.
+func (served *servedPages) current() servedCounts {
+	return servedCounts{served.number, served.pages, served.bytes, served.encodings, served.encoding}
+}
+
 // servedCounts are the pages of one number, their bytes and the time of their encoding.
 type servedCounts struct {
-	number   core.ConfigNumber
-	pages    int
-	bytes    int
-	encoding time.Duration
+	number    core.ConfigNumber
+	pages     int
+	bytes     int
+	encodings int
+	encoding  time.Duration
 }
 
 // countPage counts a page of the route table, and logs the counts of the number before with the
@@ -217,6 +235,6 @@
 	pageBytes.Add(string(form), kind, size)
 	pageSeconds.Add(encoding.Seconds())
 	if before, ended := control.served.add(number, size, encoding); ended {
-		control.options.Logger.Info("The pages of a route table were sent.", "number", before.number, "pages", before.pages, "bytes", before.bytes, "encoding_millis", before.encoding.Milliseconds())
+		control.options.Logger.Info("The pages of a route table were sent.", "number", before.number, "pages", before.pages, "bytes", before.bytes, "encodings", before.encodings, "encoding_millis", before.encoding.Milliseconds())
 	}
 }
