Match routes with the path as the caller sent it

Cause: routes were matched with the decoded path, in which an encoded slash looks like a separator; upstreams get the path as it was sent. A prefix with a percent sign never matched. Class: a decision on another form of the data than the one that is acted upon. Change: the path is taken from the request line.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -181,7 +182,7 @@
 		return
 	}
 	call.index, call.tableNumber = index, index.Table().Number
-	call.route = index.Match(incoming.Host, incoming.URL.Path)
+	call.route = index.Match(incoming.Host, sentPath(incoming))
 	if call.route == nil {
 		call.refuse(http.StatusNotFound, "no route matches")
 		return
@@ -200,6 +201,16 @@
 	call.run()
 }
 
+// sentPath returns the path of a request as its caller sent it, which is also what upstreams get. An
+// encoded slash in it is data of a segment and separates none.
+func sentPath(incoming *http.Request) string {
+	if !strings.HasPrefix(incoming.RequestURI, "/") {
+		return incoming.URL.EscapedPath() // a URL with scheme and host
+	}
+	path, _, _ := strings.Cut(incoming.RequestURI, "?")
+	return path
+}
+
 // prepare finds the service that may continue the stream of the request and counts the request
 // in the retry budget, before the first send. It returns the reason if the request must not be
 // sent.
