Keep the number that a control VM has stated through other events

Cause: events about upstreams state no route table, and an entry VM took that for the number zero. A control VM that had stated a newer table then counted as one that lacks it, so after a failed fetch it was not asked again. Evidence: TestFetches with events that state no number fails without the change (number 1 in force after 5 s). Change: such events leave what was stated.

--- a/internal/fleet/fetches_test.go
+++ b/internal/fleet/fetches_test.go
@@ -77,6 +77,8 @@
 func (controls *playedControls) Stream(ctx context.Context, vm core.VMID, _ *wire.Request, receive func(*wire.Response) bool) error {
 	state := func(number core.ConfigNumber) {
 		receive(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: &wire.WatchEvent{RoutesNumber: uint64(number)}}})
+		// Events about upstreams state no number.
+		receive(&wire.Response{Body: &wire.Response_WatchEvent{WatchEvent: &wire.WatchEvent{}}})
 	}
 	controls.lock.Lock()
 	played := *controls.vms[vm]
--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -108,8 +108,11 @@
 }
 
 // applyRoutesNumber notes the number that a control VM states, puts the table in force if the event
-// has what changed, and has it fetched otherwise.
+// has what changed, and has it fetched otherwise. Events about other things state none.
 func (follower *Follower) applyRoutesNumber(vm core.VMID, number core.ConfigNumber, change *wire.RouteChange) {
+	if number == 0 {
+		return
+	}
 	now := clock.Now()
 	table := follower.options.Table
 	follower.lock.Lock()
