Encode changes of routes outside the state's lock, and fetch the table after one that cannot be read

Cause: a change of many routes was encoded while the replicated state was locked against the next command; and an entry VM that cannot decode a change asked for the same change again. Change: the state is left before the encoding; a change that cannot be decoded counts as one that does not fit.

--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -12,6 +12,7 @@
 	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
 )
 
@@ -59,19 +60,22 @@
 	defer pages.lock.Unlock()
 	begun := clock.Now()
 	var message *wire.RouteChange
-	var encoded bool
-	var err error
+	var change routediff.Change
+	var encoded, retained bool
 	replica.View(func(state *ledger.State) {
 		pages.load(state)
-		if message, encoded = pages.changes[since]; encoded {
-			return
-		}
-		if change, retained := state.RouteChange(since); retained {
-			message, err = peer.RouteChangeMessage(change)
+		if message, encoded = pages.changes[since]; !encoded {
+			change, retained = state.RouteChange(since)
 		}
 	})
-	if encoded || err != nil {
-		return message, 0, err
+	if encoded {
+		return message, 0, nil
+	}
+	if retained {
+		var err error
+		if message, err = peer.RouteChangeMessage(change); err != nil {
+			return nil, 0, err
+		}
 	}
 	pages.changes[since] = message
 	return message, clock.Now() - begun, nil
--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -81,8 +81,8 @@
 	// lock has position 0 in the lock order. It is held while a table takes effect.
 	lock  sync.Mutex
 	table routediff.Table
-	// misfit is set after a change has led to another table than it was computed for. The whole
-	// table is fetched then.
+	// misfit is set after a change that could not be decoded, or that has led to another table than
+	// it was computed for. The whole table is fetched then.
 	misfit bool
 }
 
@@ -161,16 +161,15 @@
 		return errors.New("the table that it begins with is not in force")
 	}
 	change, err := peer.RouteChangeFromMessage(message)
-	if err != nil {
-		return err
-	}
-	next, err := routes.table.Apply(change)
-	if err != nil {
-		routes.misfit = true
-		return errors.Wrap(err, "apply change")
+	if err == nil {
+		var next routediff.Table
+		if next, err = routes.table.Apply(change); err == nil {
+			follower.putInForce(next, arrival)
+			return nil
+		}
 	}
-	follower.putInForce(next, arrival)
-	return nil
+	routes.misfit = true
+	return errors.Wrap(err, "apply change")
 }
 
 // putInForce puts a table in force if it is newer than the present one, and returns whether it did.
