Wait for the first table of a VM in the test of the distribution

Cause: TestDistributionOfChanges failed in 5 of 8 runs since the fifth VM is started in it: the bytes of its first table were counted for the next change if it still fetched it. Change: the test waits until a VM that has started holds the table. The bounds are as before.

--- a/internal/control/distribution_test.go
+++ b/internal/control/distribution_test.go
@@ -42,10 +42,14 @@
 type distribution struct {
 	t       *testing.T
 	control *Control
+	// number is that of the table in force.
+	number core.ConfigNumber
 	tables  []*fleet.Table
 	bytes   []*atomic.Int64
 }
 
+// follow starts entry VMs and waits until each one holds the table in force: the bytes of its first
+// table are not those of the next change.
 func (distribution *distribution) follow(vms int) string {
 	for range vms {
 		name := core.VMID(fmt.Sprintf("entry-%d", len(distribution.tables)))
@@ -55,6 +59,9 @@
 		})
 		distribution.t.Cleanup(stop)
 		distribution.tables, distribution.bytes = append(distribution.tables, table), append(distribution.bytes, bytes)
+		if !await(15*time.Second, func() bool { return table.RoutesNumber() == distribution.number }) {
+			distribution.t.Fatalf("%s has no table", name)
+		}
 	}
 	return fmt.Sprintf("following: %d\n", len(distribution.tables))
 }
@@ -88,6 +95,7 @@
 	if _, faults, err := distribution.control.PutRoutes(distribution.t.Context(), ledger.PutRoutes{Table: table, Document: size}); err != nil || len(faults) > 0 {
 		distribution.t.Fatal(err, faults)
 	}
+	distribution.number = table.Number
 	inForce, most := 0, int64(0)
 	for i, held := range distribution.tables {
 		if await(15*time.Second, func() bool { return held.RoutesNumber() >= table.Number }) && len(held.Routes().Table().Routes) == routes {
