Tell other control VMs what each one can apply

Cause: only the leader hears from each control VM which commands it can apply. Change: the answer to a lease renewal lists the features of the known control VMs. What a VM has said later itself counts more.

--- a/internal/control/features_test.go
+++ b/internal/control/features_test.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 	"github.com/dandelionring/dandelionring/pkg/replica/ledger"
@@ -37,6 +38,13 @@
 						command = ledger.Command{ChangeRoutes: &ledger.ChangeRoutes{Change: change}}
 					}
 					fmt.Fprintf(&out, "%s: %q\n", strings.TrimSpace(line), peers.RefuseCommand(command))
+				case len(fields) > 1 && fields[1] == "told":
+					// Another control VM tells of it, with the features that it has stated there.
+					ago, err := time.ParseDuration(fields[2])
+					if err != nil {
+						t.Fatal(err)
+					}
+					peers.recordMentions(start, []*wire.ControlVm{{Vm: fields[0], HeardMillisAgo: uint32(ago.Milliseconds()), Features: fields[3:]}})
 				case len(fields) > 1 && (fields[1] == "holds" || fields[1] == "mentioned"):
 					// A VM that was heard of some time ago.
 					ago, err := time.ParseDuration(fields[2])
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -130,7 +130,7 @@
 		control.hub.publishState()
 	}
 	control.peers.recordFeatures(vm, peer.FeaturesFromMessage(hold.GetFeatures()))
-	result := &wire.HoldResult{ControlVms: control.peers.messages(now)}
+	result := &wire.HoldResult{ControlVms: control.peers.messagesWithFeatures(now)}
 	replica, ok := control.options.Host.Replica(0)
 	if !ok {
 		return result
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/dandelionring/dandelionring/internal/clock"
+	"github.com/dandelionring/dandelionring/internal/peer"
 	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/core"
 	"github.com/dandelionring/dandelionring/pkg/policy/ownership"
@@ -229,6 +230,25 @@
 	return messages
 }
 
+// messagesWithFeatures returns the same messages with the features that the VMs have stated. A
+// leader that has just been elected knows of others only what the one before has told it.
+func (peers *Peers) messagesWithFeatures(now time.Duration) []*wire.ControlVm {
+	messages := peers.messages(now)
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	for _, message := range messages {
+		known := peers.peers[core.VMID(message.GetVm())]
+		switch {
+		case known == nil:
+		case known.lastHeard == alwaysHeard:
+			message.Features = peer.FeatureMessages(core.SupportedFeatures())
+		default:
+			message.Features = peer.FeatureMessages(known.features)
+		}
+	}
+	return messages
+}
+
 // heardAgo returns the time since the last contact with a control VM, and zero for this VM
 // and for an unknown one.
 func (peers *Peers) heardAgo(now time.Duration, vm core.VMID) time.Duration {
@@ -249,11 +269,24 @@
 		ago := time.Duration(message.GetHeardMillisAgo()) * time.Millisecond
 		if ago < peerTTL {
 			changed = peers.recordContact(now-ago, parsePeer(message)) || changed
+			peers.recordMentionedFeatures(now-ago, message)
 		}
 	}
 	return changed
 }
 
+// recordMentionedFeatures records the features that another control VM reports of one that it has
+// heard of at the time heard, unless this VM has heard of it since: it may have been started with
+// another build.
+func (peers *Peers) recordMentionedFeatures(heard time.Duration, message *wire.ControlVm) {
+	peers.lock.Lock()
+	defer peers.lock.Unlock()
+	known := peers.peers[core.VMID(message.GetVm())]
+	if known != nil && known.lastHeard <= heard && len(message.GetFeatures()) > 0 {
+		known.features = peer.FeaturesFromMessage(message.GetFeatures())
+	}
+}
+
 func parsePeer(message *wire.ControlVm) Peer {
 	return Peer{VM: core.VMID(message.GetVm()), Zone: core.ZoneID(message.GetZone()), OperatorAddress: message.GetOperatorAddress()}
 }
