Prepare a change of routes again if another one was committed

Cause: a control VM that gets a change within 100 ms of one that another control VM got has not applied that yet. Its command was prepared for an older table, and the whole table went into the log. Change: the control VM waits until it has applied the table in force, for 250 ms at most, and prepares the change again, up to three times.

--- a/internal/bench/routes/network.go
+++ b/internal/bench/routes/network.go
@@ -21,8 +21,9 @@
 	controls map[core.VMID]*control.Control
 	// cut holds the control VMs that no message reaches or leaves.
 	cut map[core.VMID]bool
-	// failedFetches counts the fetches of the route table that got no answer.
-	failedFetches atomic.Int64
+	// failedFetches counts the fetches of the route table that got no answer, and replicated the
+	// bytes of the messages of the replicated log.
+	failedFetches, replicated atomic.Int64
 }
 
 var errCut = errors.New("the VM is not reachable")
@@ -147,6 +148,7 @@
 			return
 		case messages := <-queue:
 			for _, part := range host.MessagesToWire(messages) {
+				transport.network.replicated.Add(int64(proto.Size(part)))
 				// The replicated log sends lost messages again.
 				_, _ = transport.Call(transport.ctx, to, &wire.Request{Body: &wire.Request_Replicate{Replicate: part}})
 			}
--- a/internal/bench/routes/routes_test.go
+++ b/internal/bench/routes/routes_test.go
@@ -32,6 +32,36 @@
 	}
 }
 
+// TestSuccessiveChanges guards against a change that writes the whole table to the log since the
+// control VM that gets it has not applied the change before, which another one got.
+func TestSuccessiveChanges(t *testing.T) {
+	is := is.New(t)
+	group, stop, err := startControls(3)
+	is.NoErr(err)
+	defer stop()
+	put := func(number core.ConfigNumber) int {
+		put, err := makePut(number, 2000)
+		is.NoErr(err)
+		vm := group.vms[int(number)%3]
+		result, _, err := group.network.reach(vm, vm).PutRoutes(t.Context(), put)
+		is.NoErr(err)
+		is.True(result.Changed)
+		return len(put.Document)
+	}
+	// The leader has to hear from the others first what they can apply.
+	number := core.ConfigNumber(1)
+	small := func() bool {
+		before := group.network.replicated.Load()
+		size := put(number)
+		number++
+		return group.network.replicated.Load()-before < int64(size)/8 // less than one table, compressed, for one follower
+	}
+	is.True(await(startTimeout, small))
+	for range 12 {
+		is.True(small())
+	}
+}
+
 // TestFirstTables guards against entry VMs that start together and get the first table, which a
 // majority confirms, all from the leader, through the control VMs that they ask.
 func TestFirstTables(t *testing.T) {
--- a/internal/control/distribution_test.go
+++ b/internal/control/distribution_test.go
@@ -44,8 +44,8 @@
 	control *Control
 	// number is that of the table in force.
 	number core.ConfigNumber
-	tables  []*fleet.Table
-	bytes   []*atomic.Int64
+	tables []*fleet.Table
+	bytes  []*atomic.Int64
 }
 
 // follow starts entry VMs and waits until each one holds the table in force: the bytes of its first
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -46,35 +46,80 @@
 	return result, nil, nil
 }
 
+// maxStaleChanges is the number of times that a change of the route table is prepared. Another change
+// may have been committed since this VM has seen the state.
+const maxStaleChanges = 3
+
 // commitRoutes commits a route table in the smallest form that all control VMs can apply: what
 // changes, the table compressed, or the table. It returns the form.
 func (control *Control) commitRoutes(ctx context.Context, put ledger.PutRoutes) (ledger.PutRoutesResult, routeForm, error) {
-	var fault string
-	for _, form := range []routeForm{changeForm, compressedForm, wholeForm} {
-		command := ledger.Command{PutRoutes: &put}
-		switch form {
-		case changeForm:
-			change, ok := control.prepareRoutes(put)
-			if !ok {
-				continue
-			}
-			command = ledger.Command{ChangeRoutes: &change}
-		case compressedForm:
-			compressed := put
-			compressed.Compressed = true
-			command.PutRoutes = &compressed
+	for range maxStaleChanges {
+		change, ok := control.prepareRoutes(put)
+		if !ok {
+			break
+		}
+		result, err := control.options.Commands.Propose(ctx, 0, ledger.Command{ChangeRoutes: &change})
+		if err != nil || result.PutRoutes != nil && !result.PutRoutes.Stale {
+			return routesResult(result), changeForm, err
 		}
-		result, err := control.options.Commands.Propose(ctx, 0, command)
-		if err != nil {
-			return ledger.PutRoutesResult{}, form, err
+		control.options.Logger.Info("A change of the route table was not accepted.", "number", put.Table.Number, "from", change.Change.From, "in_force", routesResult(result).Number, "reason", result.Fault)
+		if result.PutRoutes == nil || !control.awaitRoutes(ctx, result.PutRoutes.Number) {
+			break
+		}
+	}
+	compressed := put
+	compressed.Compressed = true
+	result, err := control.options.Commands.Propose(ctx, 0, ledger.Command{PutRoutes: &compressed})
+	if err != nil || result.PutRoutes != nil {
+		return routesResult(result), compressedForm, err
+	}
+	result, err = control.options.Commands.Propose(ctx, 0, ledger.Command{PutRoutes: &put})
+	if err == nil && result.PutRoutes == nil {
+		err = errors.Wrap(host.ErrNotCommitted, result.Fault)
+	}
+	return routesResult(result), wholeForm, err
+}
+
+// routesResult returns the result for a route table, the zero value if there is none.
+func routesResult(result ledger.Result) ledger.PutRoutesResult {
+	if result.PutRoutes == nil {
+		return ledger.PutRoutesResult{}
+	}
+	return *result.PutRoutes
+}
+
+// awaitRoutes waits until this VM has applied the route table with a number, or a later one, for at
+// most catchUpTimeout. It returns false if it has not.
+func (control *Control) awaitRoutes(ctx context.Context, number core.ConfigNumber) bool {
+	replica, ok := control.options.Host.Replica(0)
+	if !ok {
+		return false
+	}
+	return awaitState(ctx, replica, func(state *ledger.State) bool {
+		routes, _ := state.Routes()
+		return routes.Number >= number
+	})
+}
+
+// awaitState waits until the state of a replica meets a condition, for at most catchUpTimeout. It
+// returns false if it does not.
+func awaitState(ctx context.Context, replica *host.Replica, condition func(state *ledger.State) bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	changes, cancelChanges := replica.Subscribe()
+	defer cancelChanges()
+	for {
+		met := false
+		replica.View(func(state *ledger.State) { met = condition(state) })
+		if met {
+			return true
 		}
-		if result.PutRoutes != nil && !result.PutRoutes.Stale {
-			return *result.PutRoutes, form, nil
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changes:
 		}
-		fault = result.Fault
-		control.options.Logger.Info("A form of a route table was not accepted.", "number", put.Table.Number, "form", form, "stale", result.PutRoutes != nil, "reason", fault)
 	}
-	return ledger.PutRoutesResult{}, wholeForm, errors.Wrap(host.ErrNotCommitted, fault)
 }
 
 // prepareRoutes returns the command that states what a route table changes in that of the local
@@ -152,7 +197,7 @@
 	return response.GetRoutesPage(), nil
 }
 
-// catchUpTimeout is the time for which a confirmed read waits for what the leader has applied. The
+// catchUpTimeout is the time for which this VM waits to apply what the leader has applied. The
 // heartbeat of the leader, which brings it, comes every 100 ms.
 const catchUpTimeout = 250 * time.Millisecond
 
@@ -168,30 +213,17 @@
 	if held == 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
-	defer cancel()
 	request := &wire.Request{Body: &wire.Request_RoutesFetch{RoutesFetch: &wire.RoutesFetch{
 		Confirm: true, HeldNumber: uint64(held), Compressed: true, Direct: true, Features: peer.FeatureMessages(core.SupportedFeatures()),
 	}}}
-	response, err := control.options.Calls.Call(ctx, leader, request)
+	callContext, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	response, err := control.options.Calls.Call(callContext, leader, request)
 	index := response.GetRoutesPage().GetApplied()
 	if err != nil || index == 0 { // a leader of an older build does not state it
 		return false
 	}
-	changes, cancelChanges := replica.Subscribe()
-	defer cancelChanges()
-	for {
-		var applied uint64
-		replica.View(func(state *ledger.State) { applied = state.Applied() })
-		if applied >= index {
-			return true
-		}
-		select {
-		case <-ctx.Done():
-			return false
-		case <-changes:
-		}
-	}
+	return awaitState(ctx, replica, func(state *ledger.State) bool { return state.Applied() >= index })
 }
 
 // answerRoutesFetch returns the route table to another VM, confirmed by a majority if the
