--- a/internal/fleet/fetches_test.go
+++ b/internal/fleet/fetches_test.go
@@ -168,7 +168,12 @@
 	inForceAt := controls.began
 	_, stop := Follow(Options{
 		VM: "entry", Zone: "z", Seeds: seeds, Table: table, Calls: controls,
-		Changed: func(core.RouteTable) { inForceAt = time.Now() }, Logger: log.New(io.Discard),
+		Changed: func(core.RouteTable) {
+			controls.lock.Lock()
+			defer controls.lock.Unlock()
+			inForceAt = time.Now()
+		},
+		Logger: log.New(io.Discard),
 	})
 	defer stop()
 	sleep(context.Background(), settleTime+5*time.Second)
--- a/internal/gateway/withdrawn_test.go
+++ b/internal/gateway/withdrawn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,12 +21,11 @@
 // leavingAtRecord lets the upstream of the second send leave while the record of the send is written.
 type leavingAtRecord struct {
 	table   *fleet.Table
-	records int
+	records atomic.Int32
 }
 
 func (leaving *leavingAtRecord) StartWithin(_ context.Context, record audit.Record, _ time.Duration) error {
-	leaving.records++
-	if leaving.records != 2 {
+	if leaving.records.Add(1) != 2 {
 		return nil
 	}
 	selected, _ := leaving.table.Find(record.Upstream)
@@ -62,7 +62,7 @@
 	server := httptest.NewServer(gateway)
 	defer server.Close()
 	text := sendRequest(server, "r1", nil)
-	if !strings.HasPrefix(text, `200 "ok"`) || recorder.records != 3 || strings.Count(upstreams.sends(), "send: ") != 2 {
-		t.Errorf("%d records, %s%s", recorder.records, text, upstreams.sends())
+	if !strings.HasPrefix(text, `200 "ok"`) || recorder.records.Load() != 3 || strings.Count(upstreams.sends(), "send: ") != 2 {
+		t.Errorf("%d records, %s%s", recorder.records.Load(), text, upstreams.sends())
 	}
 }
