Index only the routes that change

Cause: an entry VM made a new index of all routes for each change, the same class once more: work for the whole table for each change of one route. Change: an index is made from the one before and the change; a change is applied by copying the list of routes and replacing those with its keys. Tables with ports in their hosts are indexed as before.

--- a/internal/fleet/routes.go
+++ b/internal/fleet/routes.go
@@ -164,7 +164,9 @@
 	if err == nil {
 		var next routediff.Table
 		if next, err = routes.table.Apply(change); err == nil {
-			follower.putInForce(next, arrival)
+			if follower.options.Table.ChangeRoutes(next.Routes(), change) {
+				follower.noteInForce(next, arrival)
+			}
 			return nil
 		}
 	}
@@ -172,13 +174,10 @@
 	return errors.Wrap(err, "apply change")
 }
 
-// putInForce puts a table in force if it is newer than the present one, and returns whether it did.
-// The caller holds the lock of the routes.
-func (follower *Follower) putInForce(next routediff.Table, arrival arrival) bool {
+// noteInForce applies what depends on the table that has taken effect. The caller holds the lock of
+// the routes.
+func (follower *Follower) noteInForce(next routediff.Table, arrival arrival) {
 	table := next.Routes()
-	if !follower.options.Table.SetRoutes(table) {
-		return false
-	}
 	follower.routes.table, follower.routes.misfit = next, false
 	follower.setLimits(table)
 	follower.options.Changed(table)
@@ -190,7 +189,6 @@
 		routeFetches.Inc("pushed", string(arrival.control))
 	}
 	follower.wakeFetches()
-	return true
 }
 
 // wakeFetches makes a goroutine that waits to fetch the route table look again. It does not block.
@@ -335,6 +333,8 @@
 	next := routediff.NewTable(table)
 	follower.routes.lock.Lock()
 	defer follower.routes.lock.Unlock()
-	follower.putInForce(next, arrival)
+	if follower.options.Table.SetRoutes(table) {
+		follower.noteInForce(next, arrival)
+	}
 	return nil
 }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 	"github.com/dandelionring/dandelionring/pkg/policy/handover"
 	"github.com/dandelionring/dandelionring/pkg/policy/membership"
 	"github.com/dandelionring/dandelionring/pkg/policy/origin"
@@ -130,13 +131,23 @@
 // SetRoutes puts a route table in force if its number is above the present one. It returns
 // true if it did.
 func (table *Table) SetRoutes(routes core.RouteTable) bool {
-	next := route.NewIndex(routes)
+	return table.setIndex(routes.Number, func(*route.Index) *route.Index { return route.NewIndex(routes) })
+}
+
+// ChangeRoutes is SetRoutes for a table to which a change of the present one leads.
+func (table *Table) ChangeRoutes(routes core.RouteTable, change routediff.Change) bool {
+	return table.setIndex(routes.Number, func(current *route.Index) *route.Index { return current.Change(routes, change) })
+}
+
+// setIndex puts the route table with a number in force if the number is above the present one. It
+// returns true if it did.
+func (table *Table) setIndex(number core.ConfigNumber, next func(current *route.Index) *route.Index) bool {
 	for {
 		current := table.index.Load()
-		if current != nil && current.Table().Number >= routes.Number {
+		if current != nil && current.Table().Number >= number {
 			return false
 		}
-		if table.index.CompareAndSwap(current, next) {
+		if table.index.CompareAndSwap(current, next(current)) {
 			table.routesReadyOnce.Do(func() { close(table.routesReady) })
 			return true
 		}
--- a/pkg/core/routediff/list.go
+++ b/pkg/core/routediff/list.go
@@ -66,28 +66,29 @@
 	if len(changed) == 0 && len(removed) == 0 {
 		return entries
 	}
-	positions := make(map[Key]int, len(changed)+len(removed))
-	for _, key := range removed {
-		positions[key] = -1
-	}
-	for i := range changed {
-		positions[list.key(&changed[i])] = i
-	}
-	next := make([]Entry, 0, len(entries)+len(changed))
+	find := list.finder(changed, removed)
+	next := append(make([]Entry, 0, len(entries)+len(changed)), entries...)
 	replaced := make([]bool, len(changed))
-	for i := range entries {
-		at, affected := positions[list.key(&entries[i])]
+	kept := 0
+	for i := range next {
+		at := find(list.key(&next[i]))
+		if at != unaffected {
+			list.remove(digest, &next[i])
+		}
 		switch {
-		case !affected:
-			next = append(next, entries[i])
-			continue
 		case at >= 0:
 			list.add(digest, &changed[at])
-			next = append(next, changed[at])
+			next[kept] = changed[at]
 			replaced[at] = true
+		case at == isRemoved:
+			continue
+		case kept < i:
+			next[kept] = next[i]
 		}
-		list.remove(digest, &entries[i])
+		kept++
 	}
+	clear(next[kept:])
+	next = next[:kept]
 	for i := range changed {
 		if !replaced[i] {
 			list.add(digest, &changed[i])
@@ -97,6 +98,51 @@
 	return next
 }
 
+// What a finder returns for a key that is not changed.
+const (
+	unaffected = -1
+	isRemoved  = -2
+)
+
+// fewKeys is the number of keys up to which comparing them all takes less time than a map.
+const fewKeys = 8
+
+// finder returns a function that returns the position of a key among the changed entries,
+// isRemoved, or unaffected.
+func (list list[Entry, Key]) finder(changed []Entry, removed []Key) func(Key) int {
+	keys := make([]Key, 0, len(changed)+len(removed))
+	for i := range changed {
+		keys = append(keys, list.key(&changed[i]))
+	}
+	keys = append(keys, removed...)
+	position := func(at int) int {
+		if at >= len(changed) {
+			return isRemoved
+		}
+		return at
+	}
+	if len(keys) <= fewKeys {
+		return func(key Key) int {
+			for at := range keys {
+				if keys[at] == key {
+					return position(at)
+				}
+			}
+			return unaffected
+		}
+	}
+	positions := make(map[Key]int, len(keys))
+	for at, key := range keys {
+		positions[key] = position(at)
+	}
+	return func(key Key) int {
+		if at, found := positions[key]; found {
+			return at
+		}
+		return unaffected
+	}
+}
+
 // merge adds later changes of a list to earlier ones.
 func (list list[Entry, Key]) merge(changed, laterChanged []Entry, removed, laterRemoved []Key) ([]Entry, []Key) {
 	if len(changed) == 0 && len(removed) == 0 {
--- a/pkg/policy/route/index.go
+++ b/pkg/policy/route/index.go
@@ -2,9 +2,12 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/routediff"
 	"github.com/dandelionring/dandelionring/pkg/policy/workspace"
 )
 
@@ -14,6 +17,9 @@
 	table      core.RouteTable
 	hosts      map[string]map[string]*core.Route
 	workspaces *workspace.Index
+	// ported is set if the host of a route has a port or brackets. Then two routes may have the same
+	// key, and the later one in the table counts.
+	ported bool
 }
 
 // NewIndex returns an index of a table, which must be valid according to
@@ -27,10 +33,52 @@
 			index.hosts[host] = make(map[string]*core.Route)
 		}
 		index.hosts[host][route.Prefix] = route
+		index.ported = index.ported || isPorted(route.Host)
 	}
 	return index
 }
 
+// isPorted reports whether a host has a port or brackets.
+func isPorted(host string) bool { return strings.ContainsAny(host, ":[") }
+
+// Change returns the index of a table to which a change of the indexed one leads. It takes time for
+// the changed routes and for the hosts and prefixes beside them, not for all routes. The index may be
+// nil.
+func (index *Index) Change(table core.RouteTable, change routediff.Change) *Index {
+	ported := func(route core.Route) bool { return isPorted(route.Host) }
+	if index == nil || index.hosts == nil || index.ported || slices.ContainsFunc(change.Routes, ported) {
+		return NewIndex(table)
+	}
+	next := &Index{table: table, hosts: maps.Clone(index.hosts), workspaces: index.workspaces}
+	if len(change.Workspaces)+len(change.RemovedWorkspaces) > 0 {
+		next.workspaces = workspace.NewIndex(table.Workspaces)
+	}
+	own := make(map[string]bool)
+	prefixes := func(host string) map[string]*core.Route {
+		if !own[host] {
+			own[host] = true
+			next.hosts[host] = maps.Clone(next.hosts[host])
+		}
+		if next.hosts[host] == nil {
+			next.hosts[host] = make(map[string]*core.Route)
+		}
+		return next.hosts[host]
+	}
+	for _, removed := range change.RemovedRoutes {
+		delete(prefixes(removed.Host), removed.Prefix)
+	}
+	for i := range change.Routes {
+		changed := change.Routes[i] // a pointer to the element would keep all changed routes
+		prefixes(normalizeHost(changed.Host))[changed.Prefix] = &changed
+	}
+	for host := range own {
+		if len(next.hosts[host]) == 0 {
+			delete(next.hosts, host)
+		}
+	}
+	return next
+}
+
 // Table returns the indexed table.
 func (index *Index) Table() *core.RouteTable { return &index.table }
 
