--- a/internal/bench/routes/run.go
+++ b/internal/bench/routes/run.go
@@ -26,6 +26,8 @@
 	maxCores           = 0.25
 	// electionTime is the time after which the control VMs have a leader again.
 	electionTime = 2 * time.Second
+	// settleTime is the time after the last change for which the entry VMs are waited for.
+	settleTime = 2 * time.Second
 )
 
 // entryCounts are the numbers of entry VMs of the largest deployments in service and of the design.
@@ -128,6 +130,7 @@
 	if err != nil {
 		return nil, err
 	}
+	time.Sleep(settleTime)
 	most := int64(0)
 	for _, follower := range followers {
 		most = max(most, follower.bytes.Load())
@@ -162,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	time.Sleep(maxCutDelaySeconds * time.Second) // the last change may take that long
+	time.Sleep(settleTime)
 	return []policy.Figure{{
 		Name: fmt.Sprintf("routes-%d-slowest-beside-a-cut-leader", count), Value: slowest(followers, acknowledged), Unit: "s", Bound: maxCutDelaySeconds,
 	}}, nil
