--- a/internal/control/routes_test.go
+++ b/internal/control/routes_test.go
@@ -36,11 +36,11 @@
 		}
 		return pushed
 	}
-	is.Equal(put(makeRoutes(1, 400, 0)), []bool{false, false, false}) // nothing was sent before
-	is.Equal(put(makeRoutes(2, 400, 1)), []bool{true, true, false})
-	large := makeRoutes(3, 400, 1)
+	is.Equal(put(makeRoutes(1, 1200, 0)), []bool{false, false, false}) // nothing was sent before
+	is.Equal(put(makeRoutes(2, 1200, 1)), []bool{true, true, false})
+	large := makeRoutes(3, 1200, 1)
 	random := rand.New(rand.NewPCG(1, 1))
-	for i := range 150 {
+	for i := range 250 { // 500 entries, which are retained
 		large.Routes[i].Prefix = fmt.Sprintf("/%x/%x/%x/%x/%d/", random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64(), i)
 		large.Routes[i].Name = core.RouteName(fmt.Sprintf("%x%x%x%x", random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64()))
 		large.Routes[i].Host = fmt.Sprintf("%x%x%x%x.example", random.Uint64(), random.Uint64(), random.Uint64(), random.Uint64())
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -3,10 +3,14 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
@@ -36,3 +40,23 @@
 		return out.String()
 	})
 }
+
+// TestEncodedSlash guards against a gateway that matches routes with a decoded path: the request for
+// /p/a%2Fb would go to the service of /p/a/, which has no upstream here.
+func TestEncodedSlash(t *testing.T) {
+	upstreams := &scriptedUpstreams{headers: []string{"To"}, answers: []string{"HTTP/1.1 200 OK\nId: r1\nSigned: 1\nContent-Length: 2\n\nok"}}
+	table := upstreams.start(t, 1)
+	routeOf := func(prefix string, service core.ServiceID) core.Route {
+		return core.Route{Name: core.RouteName(prefix), Host: "h.example", Prefix: prefix, Kind: core.Idempotent, Timeout: 6 * time.Second, Targets: []core.RouteTarget{{Service: service, Weight: 1}}}
+	}
+	table.SetRoutes(core.RouteTable{
+		Number: 1, Routes: []core.Route{routeOf("/p/", "s"), routeOf("/p/a/", "other")}, Services: []core.ServiceSpec{{Service: "s"}, {Service: "other"}},
+	})
+	gateway, closeGateway := New(Options{Table: table, Dialect: testDialect{}, Logger: log.New(io.Discard)})
+	defer closeGateway()
+	server := httptest.NewServer(gateway)
+	defer server.Close()
+	if text := sendRequest(server, "r1", nil); !strings.HasPrefix(text, `200 "ok"`) {
+		t.Error(text)
+	}
+}
--- a/pkg/replica/ledger/script_test.go
+++ b/pkg/replica/ledger/script_test.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"github.com/dandelionring/dandelionring/pkg/core"
+	"github.com/dandelionring/dandelionring/pkg/core/bytediff"
 )
 
 // script runs the commands of a data file against a state. Arguments have the form
@@ -58,6 +59,9 @@
 		script.prepared, _ = script.state.RouteBase().Prepare(putRoutes(data))
 		return fmt.Sprintf("from %d", script.prepared.Change.From)
 	case "prepared":
+		if data.HasArg("damaged") {
+			script.prepared.Edits = append(script.prepared.Edits, bytediff.Edit{Data: []byte("x")})
+		}
 		return script.changeRoutes(data, script.prepared)
 	case "change":
 		change, _ := script.state.RouteBase().Prepare(putRoutes(data))
