Add review case 12: two replacements beside two lost disks

Cause: with two core machines being replaced the group has seven voters, of which the two removed ones still count when two disks are lost.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/review-3 ] || exit 2
-TROUBLE=${TROUBLE:-1} exec target/review-3 taken-up "$folder"
+TROUBLE=${TROUBLE:-1} exec target/review-3 replaced "$folder"
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -49,6 +49,9 @@
 	// Ports, which are the same on all machines.
 	innerFirst, innerLast, front, ready, control int
 
+	// corePerZone is the number of machines of the core in each zone, and tolerated the number of them
+	// that may be lost at once.
+	corePerZone, tolerated int
 	// recordEvery is the number of runs of a worker of which one is recorded; zero is like one.
 	recordEvery int64
 
@@ -72,7 +75,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	pid := os.Getpid()
-	test := &test{record: record, trouble: trouble, folder: folder, ctx: ctx, prefix: fmt.Sprintf("127.%d.%d.", 64+pid>>8&63, pid&255)}
+	test := &test{record: record, trouble: trouble, corePerZone: 1, tolerated: 1, folder: folder, ctx: ctx, prefix: fmt.Sprintf("127.%d.%d.", 64+pid>>8&63, pid&255)}
 	end := func() {
 		cancel()
 		for _, vm := range test.vms {
@@ -154,7 +157,7 @@
 		"inner_ports": []int{test.innerFirst, test.innerLast}, "seeds": test.seeds, "bootstrap": firstStart, "counts_as_loss": vm.control,
 		"discovery": "registry", "entry": "vip", "heartbeat_ms": heartbeatInterval.Milliseconds(),
 		"contracts": []string{"base", "drain", "config", "cost", "retry", "recover", "fleet", "stream", "engine"}, "config_mode": "highest",
-		"tolerate": object{"machines": 1, "zones": 1, "regions": 0},
+		"tolerate": object{"machines": test.tolerated, "zones": 1, "regions": 0},
 		"bounds": object{
 			"seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": contactTime.Milliseconds(), "ack_ms": 4000, "catch_up_s": catchUpTime.Seconds(),
 			"drain_ms": drainTime.Milliseconds(), "grace_s": graceSeconds, "loss_slack_ms": 200, "config_apply_ms": 2000, "rollback_slack_ms": 250, "max_stretch_ms": 5000,
@@ -250,27 +253,31 @@
 	return all
 }
 
-// deploy starts one control and one entry machine in each of three zones, as at the first start of
-// a deployment, then the workers, and sends the first configuration.
+// maxSeeds is the number of seeds that a process is told.
+const maxSeeds = 3
+
+// deploy starts the machines of three zones, one entry machine in each, as at the first start of a
+// deployment, then the workers, and sends the first configuration.
 func (test *test) deploy(engines, plain int) error {
 	if err := test.choosePorts(); err != nil {
 		return err
 	}
-	for _, control := range []bool{true, false} {
+	for number := range test.corePerZone {
 		for _, zone := range []string{"a", "b", "c"} {
-			name := "entry-" + zone
-			if control {
-				name = "control-" + zone
-			}
-			vm, err := test.addVM(name, zone, control)
+			vm, err := test.addVM(fmt.Sprintf("control-%s%d", zone, number+1), zone, true)
 			if err != nil {
 				return err
 			}
-			if control {
+			if len(test.seeds) < maxSeeds {
 				test.seeds = append(test.seeds, address(vm.ip, test.control))
 			}
 		}
 	}
+	for _, zone := range []string{"a", "b", "c"} {
+		if _, err := test.addVM("entry-"+zone, zone, false); err != nil {
+			return err
+		}
+	}
 	for _, vm := range test.vms {
 		if err := test.start(vm, true); err != nil {
 			return err
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,6 +22,7 @@
 	"foreign":   runForeign,
 	"departing": runDeparting,
 	"long-ids":  runLongIDs,
+	"replaced":  runReplaced,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-3/operator.go
+++ b/review/standin-3/operator.go
@@ -12,10 +12,17 @@
 )
 
 // calls is the client of the operator, of the workers and of the load balancer.
-var calls = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+var calls = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-// call sends a call and returns the status and the body of its answer.
+// call sends a call and returns the status and the body of its answer. It waits for a second.
 func call(ctx context.Context, method, url string, body any) (int, []byte, error) {
+	return callWithin(ctx, time.Second, method, url, body)
+}
+
+// callWithin is call with the time for which it waits.
+func callWithin(ctx context.Context, limit time.Duration, method, url string, body any) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	var content []byte
 	if body != nil {
 		var err error
