Let half of the voters be a quorum beside a lost one

Cause: while it is not known which voter of a zone goes, the group has two voters more for each successor. Two successors want nine voters, and there are eight members. All four losses fell on the seven voters that were left. The log shows one successor promoted and no leader afterwards.

Change: with an even number of voters, half of them are a quorum once another incarnation of a voter's VM has answered; a candidate must know of the loss before it requests votes, a leader before it appends the entry, and a membership that follows or precedes an even one needs a quorum of both. Replicas without a leader poll the other VMs. The plan takes an even number where one member is missing. Four faults of the plan that the stricter model showed are fixed with it, as the shapes of the rule need them.

--- a/internal/host/member.go
+++ b/internal/host/member.go
@@ -39,7 +39,7 @@
 
 // addReplica proposes to add a replica to the group: first as a learner and, once it
 // has received everything, as a voter in place of the previous replica of its VM.
-func (worker *worker) addReplica(id raft.ReplicaID) {
+func (worker *worker) addReplica(id raft.ReplicaID, countsLost bool) {
 	members := worker.node.Status().Membership
 	var err error
 	role := "learner"
@@ -50,7 +50,7 @@
 		role = "voter"
 		_, err = worker.node.Promote(id)
 	default:
-		_, err = worker.node.AddLearner(id)
+		_, err = worker.node.AddLearner(id, countsLost)
 	}
 	if err == nil {
 		worker.replica.logger.Info("Proposed a membership change.", "replica", id.String(), "as", role)
@@ -70,7 +70,15 @@
 // changeMembership proposes the next step towards the membership that the last view asks
 // for. A step follows as soon as the last one is committed and not at the next poll: between
 // the two steps of a replacement the group has a voter more and bears no more losses.
+//
+// In a group without a desired number of voters, all replicas vote and none is removed.
 func (worker *worker) changeMembership(view *raft.View) {
+	if view != nil && view.Voters == 0 {
+		for _, id := range view.Present {
+			worker.addReplica(id, slices.Contains(view.CountsLost, id))
+		}
+		return
+	}
 	if view != nil {
 		worker.view = view
 	}
@@ -114,20 +122,25 @@
 	}
 }
 
+// manageReplica polls the other VMs if the replica leads, has no leader, or may form the group.
 func (host *Host) manageReplica(ctx context.Context, replica *Replica) {
+	status := replica.Status() // before the poll; see lostVoters
 	_, leads := replica.IsLeader()
 	bootstraps := !host.config.Restart && replica.empty.Load() && host.config.VM == host.config.bootstrapVM()
-	if !leads && !bootstraps {
+	elects := status.Leader.IsZero() && slices.Contains(status.Electors, status.ID)
+	if !leads && !bootstraps && !elects {
 		return
 	}
 	infos := host.pollReplicas(ctx, replica)
-	if leads && host.config.Voters > 0 {
+	if lost := lostVoters(status.Electors, infos); len(lost) > 0 {
+		replica.queue.put(func(waiting *pendingWork) { waiting.lost = lost })
+	}
+	if leads {
 		view := host.view(replica, infos)
 		replica.queue.put(func(waiting *pendingWork) { waiting.view = &view })
 		return
 	}
-	if leads {
-		replica.queue.put(func(waiting *pendingWork) { waiting.present = replicaIDs(infos) })
+	if !bootstraps {
 		return
 	}
 	if members, ok := host.initialMembership(infos); ok {
@@ -161,6 +174,19 @@
 	return infos
 }
 
+// lostVoters returns the voters whose VMs answered with another incarnation. The voters must have
+// been known before the poll: an answer that is older than the incarnation of a voter does not
+// show that the voter is lost.
+func lostVoters(voters []raft.ReplicaID, infos map[core.VMID]*wire.ReplicaInfoResult) []raft.ReplicaID {
+	var lost []raft.ReplicaID
+	for _, id := range voters {
+		if info := infos[id.VM]; info != nil && info.GetIncarnation() != string(id.Incarnation) {
+			lost = append(lost, id)
+		}
+	}
+	return lost
+}
+
 // polledVMs returns the VMs to poll: those that may have a replica and those whose
 // replicas are members.
 func (host *Host) polledVMs(replica *Replica) []core.VMID {
@@ -182,8 +208,12 @@
 		MissedBeforeReplacement: missedBeforeReplacement, MissedBeforeSameZoneReplacement: missedBeforeSameZoneReplacement,
 	}
 	for vm, info := range infos {
+		id := raft.ReplicaID{VM: vm, Incarnation: core.Incarnation(info.GetIncarnation())}
 		if info.GetEmpty() && info.GetLaterStart() {
-			view.Joining = append(view.Joining, raft.ReplicaID{VM: vm, Incarnation: core.Incarnation(info.GetIncarnation())})
+			view.Joining = append(view.Joining, id)
+		}
+		if info.GetCountsLost() {
+			view.CountsLost = append(view.CountsLost, id)
 		}
 	}
 	for _, vm := range host.polledVMs(replica) {
@@ -247,7 +277,12 @@
 			return raft.Membership{}, false
 		}
 	}
-	return raft.NewMembership(replicaIDs(infos)...), true
+	members := raft.NewMembership(replicaIDs(infos)...)
+	members.CountsLost = true
+	for _, info := range infos {
+		members.CountsLost = members.CountsLost && info.GetCountsLost()
+	}
+	return members, true
 }
 
 // info returns the description of the replica that other VMs poll.
@@ -256,6 +291,6 @@
 	return &wire.ReplicaInfoResult{
 		Vm: string(status.ID.VM), Incarnation: string(status.ID.Incarnation), Empty: replica.empty.Load(),
 		LeaderVm: string(status.Leader.VM), Term: uint64(status.Term), Commit: uint64(status.Commit),
-		LaterStart: replica.config.Restart,
+		LaterStart: replica.config.Restart, CountsLost: true,
 	}
 }
--- a/internal/host/queue.go
+++ b/internal/host/queue.go
@@ -36,10 +36,10 @@
 	messages      []raft.Message
 	proposals     []*proposal
 	confirmations []*confirmation
-	// present are the replicas that answered the last poll.
-	present []raft.ReplicaID
-	// view is the result of a poll by a leader that plans the membership.
+	// view is the result of a poll by a leader.
 	view *raft.View
+	// lost are the voters whose VMs answered a poll with another incarnation.
+	lost []raft.ReplicaID
 	// initial is the membership of a group that is to be formed.
 	initial *raft.Membership
 	// saved is the outcome of a snapshot that a goroutine has stored.
--- a/internal/host/worker.go
+++ b/internal/host/worker.go
@@ -139,6 +139,11 @@
 // runIteration processes all queued work and the Ready states that result from it.
 func (worker *worker) runIteration() error {
 	taken := worker.replica.queue.take()
+	for _, id := range taken.lost {
+		if worker.node.MarkLost(id) {
+			worker.replica.logger.Info("A voter has lost its disk.", "replica", id.String())
+		}
+	}
 	for _, message := range taken.messages {
 		worker.node.Step(message)
 	}
@@ -148,9 +153,6 @@
 	for _, confirmation := range taken.confirmations {
 		worker.confirm(confirmation)
 	}
-	for _, id := range taken.present {
-		worker.addReplica(id)
-	}
 	worker.changeMembership(taken.view)
 	// Nothing may fail before all proposals and confirmations are in the worker's tables or
 	// answered: shutDown answers only those.
--- a/pkg/replica/raft/change.go
+++ b/pkg/replica/raft/change.go
@@ -8,24 +8,39 @@
 // previous incarnation of the VM was lost. A vote of that incarnation that is still in
 // flight can therefore not elect a candidate that lacks this entry, which makes Promote
 // safe.
-func (node *Node) AddLearner(id ReplicaID) (Index, error) {
-	return node.addMember(id, Membership.withLearner)
+//
+// countsLost states whether the program of the replica counts lost voters.
+func (node *Node) AddLearner(id ReplicaID, countsLost bool) (Index, error) {
+	return node.addMember(id, countsLost, Membership.withLearner)
 }
 
 // AddSuccessor proposes to add a replica as a learner that is to replace a voter of its
 // zone. It returns the index of the entry and the errors of AddLearner.
-func (node *Node) AddSuccessor(id ReplicaID) (Index, error) {
-	return node.addMember(id, Membership.withSuccessor)
+func (node *Node) AddSuccessor(id ReplicaID, countsLost bool) (Index, error) {
+	return node.addMember(id, countsLost, Membership.withSuccessor)
 }
 
-func (node *Node) addMember(id ReplicaID, add func(Membership, ReplicaID) Membership) (Index, error) {
+func (node *Node) addMember(id ReplicaID, countsLost bool, add func(Membership, ReplicaID) Membership) (Index, error) {
 	if err := node.checkChange(); err != nil {
 		return 0, err
 	}
 	if node.members().IsVoter(id) || node.members().IsLearner(id) {
 		return 0, ErrNotMember
 	}
-	return node.proposeMembership(add(node.members(), id)), nil
+	members := add(node.members(), id)
+	members.CountsLost = members.CountsLost && countsLost
+	return node.proposeMembership(members)
+}
+
+// SetCountsLost proposes to set Membership.CountsLost and returns the index of the entry. It
+// returns ErrNotLeader or ErrChangePending.
+func (node *Node) SetCountsLost(countsLost bool) (Index, error) {
+	if err := node.checkChange(); err != nil {
+		return 0, err
+	}
+	members := node.members()
+	members.CountsLost = countsLost
+	return node.proposeMembership(members)
 }
 
 // Promote proposes to make a learner a voter and, with the same entry, to remove the
@@ -42,7 +57,7 @@
 	if node.progress[id].match < node.hardState.Commit {
 		return 0, ErrNotCaughtUp
 	}
-	return node.proposeMembership(node.members().withVoter(id)), nil
+	return node.proposeMembership(node.members().withVoter(id))
 }
 
 // Remove proposes to remove a replica, which the given successor has replaced if it is not zero,
@@ -56,7 +71,7 @@
 	if len(members.all()) == len(node.members().all()) || len(members.Voters) == 0 {
 		return 0, ErrNotMember
 	}
-	return node.proposeMembership(members), nil
+	return node.proposeMembership(members)
 }
 
 // Demote proposes to make a voter a learner, which the given successor has replaced if it is not
@@ -69,7 +84,7 @@
 	if !node.members().IsVoter(id) || len(node.members().Voters) == 1 {
 		return 0, ErrNotMember
 	}
-	return node.proposeMembership(node.members().withDemoted(id, successor)), nil
+	return node.proposeMembership(node.members().withDemoted(id, successor))
 }
 
 // checkChange returns an error unless the node is a leader that has committed an entry
@@ -87,11 +102,19 @@
 	return nil
 }
 
-// proposeMembership appends a membership entry and returns its index.
-func (node *Node) proposeMembership(members Membership) Index {
+// proposeMembership appends a membership entry and returns its index. It returns ErrNoQuorum if
+// no quorum of the new voters has replied in this term: beside lost voters, a leader may commit
+// with half of the voters, which need not be a quorum of one voter less.
+func (node *Node) proposeMembership(members Membership) (Index, error) {
+	hasReplied := func(id ReplicaID) bool {
+		return id == node.config.ID || node.matched(id) >= node.termStartIndex && !node.isLost(id)
+	}
+	if !members.isQuorum(hasReplied, node.isLost) {
+		return 0, ErrNoQuorum
+	}
 	index := node.appendNew(EntryMembership, members.Encode())
 	node.syncProgress()
-	return index
+	return index, nil
 }
 
 // stepDownIfRemoved makes a leader a follower once a membership in which it is not a
--- a/pkg/replica/raft/election.go
+++ b/pkg/replica/raft/election.go
@@ -1,11 +1,20 @@
 package raft
 
+import (
+	"maps"
+	"slices"
+)
+
 // campaign starts a pre-vote or an election. A pre-vote does not increment the term,
 // so that a replica that cannot win does not disrupt the current leader.
 func (node *Node) campaign(role Role) {
 	node.role = role
 	node.leader = ReplicaID{}
 	node.votes = map[ReplicaID]bool{node.config.ID: true}
+	// A vote that a lost replica gave is counted only by a candidate that had requested it
+	// before: of two halves that elect in the same term, each would have to contain a replica
+	// that voted there before the other candidate requested its first vote.
+	node.lostBefore = maps.Clone(node.lost)
 	request := Message{Type: PreVote, Term: node.hardState.Term + 1, LogIndex: node.log.last(), LogTerm: node.log.lastTerm()}
 	if role == Candidate {
 		request.Type = Vote
@@ -16,7 +25,7 @@
 	if node.tallyVotes() {
 		return
 	}
-	for _, voter := range node.members().Voters {
+	for _, voter := range node.electors() {
 		if voter == node.config.ID {
 			continue
 		}
@@ -25,6 +34,16 @@
 	}
 }
 
+// electors returns the voters of all electorates. The caller must not change them.
+func (node *Node) electors() []ReplicaID {
+	electorates := node.electorates()
+	electors := electorates[0].members.Voters
+	for _, record := range electorates[1:] {
+		electors = slices.Compact(sorted(slices.Concat(electors, record.members.Voters)))
+	}
+	return electors
+}
+
 // handleVoteRequest grants a vote or pre-vote to a candidate whose log is at least as
 // up to date as the own log. A learner votes as well: the candidate may have received
 // the entry that promotes the learner before the learner has.
@@ -60,26 +79,29 @@
 	node.tallyVotes()
 }
 
-// tallyVotes ends the pre-vote or election once a majority has granted or rejected it.
-// It returns true if it was won.
+// tallyVotes ends the pre-vote or election once a quorum has granted or a majority has rejected
+// it. It returns true if it was won.
 func (node *Node) tallyVotes() bool {
-	members := node.members()
-	granted, rejected := 0, 0
-	for _, voter := range members.Voters {
-		vote, counted := node.votes[voter]
-		switch {
-		case counted && vote:
-			granted++
-		case counted:
-			rejected++
-		}
+	granted := func(id ReplicaID) bool { return node.votes[id] }
+	lost := func(id ReplicaID) bool {
+		_, known := node.lostBefore[id]
+		return known
 	}
-	if granted >= members.quorum() {
+	if node.isQuorum(granted, lost) {
 		node.advanceElection()
 		return true
 	}
-	if rejected >= members.quorum() {
-		node.becomeFollower(node.hardState.Term, ReplicaID{})
+	for _, record := range node.electorates() {
+		rejected := 0
+		for _, voter := range record.members.Voters {
+			if vote, counted := node.votes[voter]; counted && !vote {
+				rejected++
+			}
+		}
+		if rejected >= record.members.quorum() {
+			node.becomeFollower(node.hardState.Term, ReplicaID{})
+			return false
+		}
 	}
 	return false
 }
@@ -102,6 +124,9 @@
 	node.progress = make(map[ReplicaID]*progress)
 	node.syncProgress()
 	node.termStartIndex = node.log.last() + 1
+	for id := range node.lost {
+		node.lost[id] = node.termStartIndex
+	}
 	node.appendNew(EntryEmpty, nil)
 }
 
@@ -129,17 +154,15 @@
 // checkQuorum reports whether a quorum of voters, including the leader, replied since
 // the last call. Replicas that did not reply are only probed from then on.
 func (node *Node) checkQuorum() bool {
-	activeVoters := 0
-	for _, voter := range node.members().Voters {
-		if voter == node.config.ID || node.progress[voter].recentlyActive {
-			activeVoters++
-		}
-	}
+	hasQuorum := node.isQuorum(func(id ReplicaID) bool {
+		progress := node.progress[id]
+		return id == node.config.ID || progress != nil && progress.recentlyActive
+	}, node.isLost)
 	for _, progress := range node.progress {
 		if !progress.recentlyActive && progress.mode == streaming {
 			progress.becomeProbing() // an unresponsive replica is sent no more than one batch
 		}
 		progress.recentlyActive = false
 	}
-	return activeVoters >= node.members().quorum()
+	return hasQuorum
 }
--- a/pkg/replica/raft/errors.go
+++ b/pkg/replica/raft/errors.go
@@ -15,6 +15,8 @@
 	// requires: AddLearner requires a replica that is not a member, Promote a learner,
 	// and Remove a member other than the last voter.
 	ErrNotMember = errors.New("the replica is not a member with that role")
+	// ErrNoQuorum means that no quorum of the new voters has replied to this leader.
+	ErrNoQuorum = errors.New("no quorum of the new voters has replied in this term")
 )
 
 // usageError is the panic value for incorrect use of a Node or a violated invariant.
--- a/pkg/replica/raft/membership.go
+++ b/pkg/replica/raft/membership.go
@@ -18,9 +18,13 @@
 	// not done so yet. Each of them is also a learner, or a voter until the voter that it
 	// replaces is a learner.
 	Successors []ReplicaID `json:",omitempty"`
-	// Replaced are the learners that were voters until a successor replaced them. They are
-	// expected to go.
+	// Replaced are the members that were voters until a successor replaced them. They are
+	// expected to go, and are voters again only if there are no others.
 	Replaced []ReplicaID `json:",omitempty"`
+	// CountsLost is set while all members run a program that counts lost voters: half of an
+	// even number of voters is a quorum beside a lost one. A program that does not know the
+	// field drops it from the memberships that it proposes.
+	CountsLost bool `json:",omitempty"`
 }
 
 // NewMembership returns a membership with the given voters and no learners.
@@ -57,7 +61,7 @@
 	return slices.Contains(members.Learners, id)
 }
 
-// isReplaced reports whether id is a learner that a successor has replaced.
+// isReplaced reports whether id is a member that a successor has replaced.
 func (members Membership) isReplaced(id ReplicaID) bool {
 	return slices.Contains(members.Replaced, id)
 }
@@ -72,11 +76,6 @@
 	return slices.ContainsFunc(members.all(), func(id ReplicaID) bool { return id.VM == vm })
 }
 
-// quorum returns the number of voters that form a majority.
-func (members Membership) quorum() int {
-	return len(members.Voters)/2 + 1
-}
-
 // all returns the voters followed by the learners.
 func (members Membership) all() []ReplicaID {
 	return slices.Concat(members.Voters, members.Learners)
@@ -89,6 +88,7 @@
 		Voters: slices.Clone(members.Voters), Learners: sorted(append(withoutVM(members.Learners, id.VM), id)),
 		Successors: slices.DeleteFunc(slices.Clone(members.Successors), func(other ReplicaID) bool { return other.VM == id.VM && !members.IsVoter(other) }),
 		Replaced:   withoutVM(members.Replaced, id.VM),
+		CountsLost: members.CountsLost,
 	}
 	if len(next.Successors) < len(members.Successors) {
 		next.Successors = sorted(append(next.Successors, id))
@@ -109,7 +109,8 @@
 	next := Membership{
 		Voters: sorted(append(withoutVM(members.Voters, id.VM), id)), Learners: withoutVM(members.Learners, id.VM),
 		Successors: withoutVM(members.Successors, id.VM),
-		Replaced:   withoutVM(members.Replaced, id.VM),
+		Replaced:   slices.DeleteFunc(slices.Clone(members.Replaced), func(other ReplicaID) bool { return other.VM == id.VM && other != id }),
+		CountsLost: members.CountsLost,
 	}
 	if len(next.Successors) < len(members.Successors) {
 		next.Successors = sorted(append(next.Successors, id))
@@ -126,6 +127,7 @@
 		Learners:   slices.DeleteFunc(slices.Clone(members.Learners), drop),
 		Successors: slices.DeleteFunc(slices.Clone(members.Successors), func(other ReplicaID) bool { return other == id || other == successor }),
 		Replaced:   slices.DeleteFunc(slices.Clone(members.Replaced), drop),
+		CountsLost: members.CountsLost,
 	}
 }
 
@@ -134,7 +136,7 @@
 func (members Membership) withDemoted(id, successor ReplicaID) Membership {
 	next := members.without(id, successor)
 	next.Learners = sorted(append(next.Learners, id))
-	if !successor.IsZero() {
+	if !successor.IsZero() || members.isReplaced(id) {
 		next.Replaced = sorted(append(next.Replaced, id))
 	}
 	return next
--- a/pkg/replica/raft/node.go
+++ b/pkg/replica/raft/node.go
@@ -91,8 +91,14 @@
 	// starts a pre-vote.
 	electionTimeout int
 	// votes holds the votes in the current pre-vote or election; true means granted.
-	votes    map[ReplicaID]bool
-	progress map[ReplicaID]*progress
+	votes map[ReplicaID]bool
+	// lost holds the voters that are known to be lost, and the index of the first entry that
+	// was or will be appended after that was known.
+	lost map[ReplicaID]Index
+	// lostBefore holds the voters that were known to be lost when the current pre-vote or
+	// election began.
+	lostBefore map[ReplicaID]Index
+	progress   map[ReplicaID]*progress
 	// termStartIndex is the index of the first entry of this leader's term.
 	termStartIndex Index
 	// heartbeatRound is the number of the last heartbeat round that this replica started.
@@ -178,6 +184,10 @@
 	// Snapshot is the index of the latest snapshot.
 	Snapshot   Index
 	Membership Membership
+	// Electors are the replicas whose votes an election counts: the voters of Membership and, while
+	// it is not committed and one of both allows halves, those of the membership before. The
+	// caller must not change them.
+	Electors []ReplicaID
 	// MembershipCommitted is set if the entry that set Membership is committed.
 	MembershipCommitted bool
 	// CommittedInTerm is set if this leader has committed an entry of its own term, so that
@@ -193,7 +203,7 @@
 	return Status{
 		ID: node.config.ID, Role: node.role, Term: node.hardState.Term, Leader: node.leader,
 		Commit: node.hardState.Commit, Applied: node.applied, Last: node.log.last(),
-		Snapshot: node.snapshot.Index, Membership: node.members(),
+		Snapshot: node.snapshot.Index, Membership: node.members(), Electors: node.electors(),
 		MembershipCommitted: node.memberships[len(node.memberships)-1].index <= node.hardState.Commit,
 		CommittedInTerm:     node.role == Leader && node.hardState.Commit >= node.termStartIndex,
 		Confirmed:           node.confirmedRound(),
--- a/pkg/replica/raft/plan.go
+++ b/pkg/replica/raft/plan.go
@@ -17,11 +17,14 @@
 	StepPromote
 	StepDemote
 	StepRemove
+	// StepCountLost and StepIgnoreLost set and clear Membership.CountsLost.
+	StepCountLost
+	StepIgnoreLost
 )
 
 // String returns the name of the kind, and "unknown" for any other value.
 func (kind StepKind) String() string {
-	names := [...]string{"unknown", "add learner", "add successor", "promote", "demote", "remove"}
+	names := [...]string{"unknown", "add learner", "add successor", "promote", "demote", "remove", "count lost", "ignore lost"}
 	if int(kind) >= len(names) {
 		return names[0]
 	}
@@ -34,6 +37,8 @@
 	Replica ReplicaID
 	// Successor is the successor that has replaced a demoted or removed Replica, zero if none has.
 	Successor ReplicaID
+	// CountsLost states whether the program of an added Replica counts lost voters.
+	CountsLost bool
 }
 
 // View is the information about the replicas from which a leader plans a membership
@@ -45,6 +50,8 @@
 	// Joining are the replicas in Present that have an empty log and whose VM was not part of
 	// the first start of the deployment: a new VM, or one that lost its disk.
 	Joining []ReplicaID
+	// CountsLost are the replicas in Present whose program counts lost voters.
+	CountsLost []ReplicaID
 	// Missed is the number of consecutive surveys that a VM did not reply to.
 	Missed map[core.VMID]int
 	Zones  map[core.VMID]core.ZoneID
@@ -64,10 +71,11 @@
 // gone, the group would bear one loss less until its silence is long enough to be told from
 // a restart or a partition. If the zone has more voters than new VMs, it is not known which one
 // goes. The group then has two voters more for each new VM, so that it bears the loss of any of
-// them beside the losses that view.Voters bear, until one has gone.
+// them beside the losses that view.Voters bear, until one has gone. If there is a member too few
+// for that, the voters are an even number, of which half are enough beside a lost one.
 func (members Membership) Plan(view View) (Step, bool) {
 	for _, rule := range []func(View) (Step, bool){
-		members.planLearner, members.planReplacement, members.planVoterRemoval,
+		members.planLearner, members.planCountsLost, members.planReplacement, members.planVoterRemoval,
 		members.planVoter, members.planHandover, members.planSuccessor, members.planLearnerRemoval,
 	} {
 		if step, ok := rule(view); ok {
@@ -84,14 +92,30 @@
 		if members.IsVoter(id) || members.IsLearner(id) {
 			continue
 		}
+		step := Step{Kind: StepAddLearner, Replica: id, CountsLost: slices.Contains(view.CountsLost, id)}
 		if slices.Contains(view.Joining, id) && !members.hasVM(id.VM) {
-			return Step{Kind: StepAddSuccessor, Replica: id}, true
+			step.Kind = StepAddSuccessor
 		}
-		return Step{Kind: StepAddLearner, Replica: id}, true
+		return step, true
 	}
 	return Step{}, false
 }
 
+// planCountsLost lets the group count lost voters once the programs of all members do, and no
+// longer once that of a member does not.
+func (members Membership) planCountsLost(view View) (Step, bool) {
+	for _, id := range members.all() {
+		counts, present := slices.Contains(view.CountsLost, id), slices.Contains(view.Present, id)
+		switch {
+		case members.CountsLost && present && !counts:
+			return Step{Kind: StepIgnoreLost}, true
+		case !members.CountsLost && !counts:
+			return Step{}, false
+		}
+	}
+	return Step{Kind: StepCountLost}, !members.CountsLost
+}
+
 // planReplacement promotes a learner whose VM is a voter with a previous incarnation
 // of its disk.
 func (members Membership) planReplacement(view View) (Step, bool) {
@@ -103,27 +127,43 @@
 	return Step{}, false
 }
 
-// targetVoters returns the desired number of voters: view.Voters, and two more for each outnumbered
-// successor for which there are enough members.
+// targetVoters returns the desired number of voters: see extraVoters.
 func (members Membership) targetVoters(view View) int {
 	target, _ := members.extraVoters(view)
 	return target
 }
 
 // extraVoters returns the desired number of voters, and whether that is too few for all outnumbered
-// successors.
+// successors. It is view.Voters, and two more for each outnumbered successor. With one member less
+// than that, the group bears as many losses if it counts lost voters. With fewer members, it is
+// the number for those successors for which there are enough.
 func (members Membership) extraVoters(view View) (target int, scarce bool) {
-	target = view.Voters
+	successors := 0
 	for _, successor := range members.Successors {
-		switch {
-		case !members.outnumbered(view, successor):
-		case target+2 <= len(members.all()):
-			target += 2
-		default:
-			scarce = true
+		if members.outnumbered(view, successor) {
+			successors++
 		}
 	}
-	return target, scarce
+	if successors == 0 {
+		return view.Voters, false
+	}
+	all, replaced := len(members.all()), len(members.Replaced)
+	for _, option := range []struct{ departures, available int }{
+		// One that was replaced may stay, and another VM of its zone that is one of the voters
+		// more may go in its place.
+		{successors + replaced, all},
+		{successors, all - replaced},
+		{successors, all},
+	} {
+		target = view.Voters + 2*option.departures
+		if target <= option.available {
+			return target, false
+		}
+		if target-1 == option.available && members.CountsLost {
+			return option.available, false
+		}
+	}
+	return view.Voters + max(0, all-view.Voters)/2*2, true
 }
 
 // outnumbered reports whether the zone of a successor has voters that can go, and more of them than
@@ -165,11 +205,11 @@
 		if !ok || !members.IsVoter(successor) || !slices.Contains(view.Present, successor) {
 			continue
 		}
-		if !members.contested(view, successor) && surplus {
-			return Step{StepDemote, replaced, successor}, true
+		if !members.contested(view, successor) && len(members.Voters) > view.Voters {
+			return Step{Kind: StepDemote, Replica: replaced, Successor: successor}, true
 		}
 		if members.contested(view, successor) && view.Missed[replaced.VM] >= silence {
-			return Step{StepRemove, replaced, successor}, true
+			return Step{Kind: StepRemove, Replica: replaced, Successor: successor}, true
 		}
 	}
 	if _, handsOver := members.planHandover(view); !surplus || handsOver {
@@ -178,16 +218,27 @@
 	return members.planSurplus(view)
 }
 
+// isMoreSurplus reports whether a voter is to go rather than another one: it has missed more
+// surveys, or was replaced before, or its zone has more voters.
+func (members Membership) isMoreSurplus(view View, id, other ReplicaID) bool {
+	if missed, most := view.Missed[id.VM], view.Missed[other.VM]; missed != most {
+		return missed > most
+	}
+	if members.isReplaced(id) != members.isReplaced(other) {
+		return members.isReplaced(id)
+	}
+	return members.votersInZone(view, id) > members.votersInZone(view, other)
+}
+
 // planSurplus removes the voter with the most missed surveys, other than the leader. If all have
-// responded, it demotes one of the zone with the most voters.
+// responded, it demotes one that was replaced before, or one of the zone with the most voters.
 func (members Membership) planSurplus(view View) (Step, bool) {
 	var candidate ReplicaID
 	for _, id := range members.Voters {
 		if id == view.Self {
 			continue
 		}
-		missed, most := view.Missed[id.VM], view.Missed[candidate.VM]
-		if candidate.IsZero() || missed > most || missed == most && members.votersInZone(view, id) > members.votersInZone(view, candidate) {
+		if candidate.IsZero() || members.isMoreSurplus(view, id, candidate) {
 			candidate = id
 		}
 	}
@@ -198,7 +249,10 @@
 	if slices.Contains(view.Present, candidate) {
 		step.Kind = StepDemote
 	}
-	step.Successor = members.successorOf(view, candidate)
+	successor := members.successorOf(view, candidate)
+	if step.Kind == StepRemove || !members.contested(view, successor) {
+		step.Successor = successor
+	}
 	return step, true
 }
 
@@ -232,8 +286,8 @@
 }
 
 // planVoter promotes a learner if there are fewer voters than desired. A replaced one comes last. A
-// voter beyond view.Voters is a learner that has been a member before if possible, as it has the
-// log.
+// voter beyond view.Voters is, if possible, a learner that does not go in place of a replaced one of
+// its zone, and one that has been a member before, as it has the log.
 func (members Membership) planVoter(view View) (Step, bool) {
 	learners := members.presentLearners(view)
 	if len(members.Voters) >= members.targetVoters(view) || len(learners) == 0 {
@@ -246,11 +300,19 @@
 	}
 	without(members.isReplaced)
 	if len(members.Voters) >= view.Voters {
+		without(func(id ReplicaID) bool { return members.mayGoInPlace(view, id) })
 		without(members.IsSuccessor)
 	}
 	return Step{Kind: StepPromote, Replica: members.leastCovered(view, learners)}, true
 }
 
+// mayGoInPlace reports whether id may go in place of a replaced member of its zone.
+func (members Membership) mayGoInPlace(view View, id ReplicaID) bool {
+	return !members.IsSuccessor(id) && slices.ContainsFunc(members.Replaced, func(replaced ReplicaID) bool {
+		return view.Zones[replaced.VM] == view.Zones[id.VM]
+	})
+}
+
 // leastCovered returns the first learner whose zone has the fewest voters.
 func (members Membership) leastCovered(view View, learners []ReplicaID) ReplicaID {
 	return slices.MinFunc(learners, func(a, b ReplicaID) int {
@@ -273,19 +335,27 @@
 
 // replacedBy returns the voter that a successor replaces: the one of its zone with the most
 // missed surveys, and the first one of those that have missed equally many. It returns false
-// if its zone is not known or has no other voter.
+// if its zone is not known, or has no other voter but those that have replaced a voter that is
+// still there.
 func (members Membership) replacedBy(view View, successor ReplicaID) (ReplicaID, bool) {
 	var replaced ReplicaID
 	zone := view.Zones[successor.VM]
+	former := 0
+	for _, id := range members.Replaced {
+		if members.IsLearner(id) && view.Zones[id.VM] == zone && view.Missed[id.VM] == 0 {
+			former++
+		}
+	}
 	for _, id := range members.Voters {
 		if id == successor || members.IsSuccessor(id) || zone == "" || view.Zones[id.VM] != zone {
 			continue
 		}
+		former--
 		if replaced.IsZero() || view.Missed[id.VM] > view.Missed[replaced.VM] {
 			replaced = id
 		}
 	}
-	return replaced, !replaced.IsZero()
+	return replaced, !replaced.IsZero() && former < 0
 }
 
 // planSuccessor promotes a learner that is to replace an unresponsive voter. A learner
@@ -337,15 +407,17 @@
 	var err error
 	switch step.Kind {
 	case StepAddLearner:
-		_, err = node.AddLearner(step.Replica)
+		_, err = node.AddLearner(step.Replica, step.CountsLost)
 	case StepAddSuccessor:
-		_, err = node.AddSuccessor(step.Replica)
+		_, err = node.AddSuccessor(step.Replica, step.CountsLost)
 	case StepPromote:
 		_, err = node.Promote(step.Replica)
 	case StepDemote:
 		_, err = node.Demote(step.Replica, step.Successor)
 	case StepRemove:
 		_, err = node.Remove(step.Replica, step.Successor)
+	case StepCountLost, StepIgnoreLost:
+		_, err = node.SetCountsLost(step.Kind == StepCountLost)
 	default:
 		err = ErrNotMember
 	}
--- a/pkg/replica/raft/ready.go
+++ b/pkg/replica/raft/ready.go
@@ -43,7 +43,7 @@
 		Entries:   node.log.slice(node.log.stable+1, node.log.last(), int(^uint(0)>>1)),
 		Committed: node.log.slice(node.applied+1, node.hardState.Commit, int(^uint(0)>>1)),
 	}
-	ready.MustSync = termOrVoteChanged || len(ready.Entries) > 0 || ready.Snapshot != nil
+	ready.MustSync = termOrVoteChanged || len(ready.Entries) > 0 || ready.Snapshot != nil || node.savesCommit()
 	ready.MessagesBeforeSync, ready.Messages = node.splitMessages(termOrVoteChanged)
 	node.pendingReady = &ready
 	return ready
--- a/pkg/replica/raft/replicate.go
+++ b/pkg/replica/raft/replicate.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // Propose appends a command to the log of the leader and returns the index and term of
 // its entry. The command is committed if the entry that is committed at that index has
 // that term. It returns ErrNotLeader if the node is not the leader.
@@ -176,36 +178,51 @@
 	}
 }
 
-// tryCommit advances the commit index to the last entry that a majority has synced if
+// tryCommit advances the commit index to the last entry that a quorum has synced if
 // that entry is of the current term: an entry of an earlier term may still be replaced
-// by another leader although a majority holds it.
+// by another leader although a quorum holds it.
 func (node *Node) tryCommit() {
-	members := node.members()
-	matches := make([]Index, 0, len(members.Voters))
-	for _, voter := range members.Voters {
-		matches = append(matches, node.progress[voter].match)
-	}
-	index := quorumValue(matches, members.quorum())
-	if index <= node.hardState.Commit || !node.log.matches(index, node.hardState.Term) {
-		return
+	for {
+		var matches []Index
+		for _, record := range node.electorates() {
+			for _, voter := range record.members.Voters {
+				matches = append(matches, node.matched(voter))
+			}
+		}
+		slices.Sort(matches)
+		slices.Reverse(matches)
+		last := slices.IndexFunc(matches, func(index Index) bool {
+			return index <= node.hardState.Commit || node.canCommit(index)
+		})
+		if last < 0 || matches[last] <= node.hardState.Commit || !node.log.matches(matches[last], node.hardState.Term) {
+			return
+		}
+		// A committed membership may leave one electorate, in which more is committed.
+		node.hardState.Commit = matches[last]
 	}
-	node.hardState.Commit = index
 }
 
-// confirmedRound returns the last heartbeat round that a quorum has replied to, or 0
-// if the node is not the leader.
+// confirmedRound returns the last heartbeat round that a majority of each electorate has replied
+// to, or 0 if the node is not the leader.
 func (node *Node) confirmedRound() uint64 {
 	if node.role != Leader {
 		return 0
 	}
-	members := node.members()
-	rounds := make([]uint64, 0, len(members.Voters))
-	for _, voter := range members.Voters {
-		if voter == node.config.ID {
-			rounds = append(rounds, node.heartbeatRound)
-			continue
+	confirmed := node.heartbeatRound
+	for _, record := range node.electorates() {
+		rounds := make([]uint64, 0, len(record.members.Voters))
+		for _, voter := range record.members.Voters {
+			progress := node.progress[voter]
+			switch {
+			case voter == node.config.ID:
+				rounds = append(rounds, node.heartbeatRound)
+			case progress != nil:
+				rounds = append(rounds, progress.ackedRound)
+			default:
+				rounds = append(rounds, 0)
+			}
 		}
-		rounds = append(rounds, node.progress[voter].ackedRound)
+		confirmed = min(confirmed, quorumValue(rounds, record.members.quorum()))
 	}
-	return quorumValue(rounds, members.quorum())
+	return confirmed
 }
