Count the group of the control VMs by its membership for origins of streams

Cause: records of sends to another version and questions for them need majorities of one group, and both took it from lists in which a removed VM stays for 60 s, while the new one did not count for 40 s. Two of four are no majority. The counters of both old VMs show that they found the records.

Change: answers and acknowledgements state the membership of the replicated log and its index, and the latest one counts. A VM without a leader does not count. A VM that has joined or has lost its disk fetches the records of a majority of the others and counts then.

The added plays of testdata/origins and testdata/scenarios with a replaced VM were refused before.

--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -32,6 +32,8 @@
 	vms     map[core.VMID]*Auditor
 	disks   map[core.VMID]*disk
 	closers []func()
+	// groups are the groups of control VMs that VMs state.
+	groups map[core.VMID]*wire.ControlGroup
 
 	mutex sync.Mutex
 	// modes holds the state of a VM: empty, down (calls fail at once), silent (calls time
@@ -90,6 +92,9 @@
 		return nil, ctx.Err()
 	}
 	result := link.deployment.vms[vm].Receive(ctx, request.GetAudit())
+	if request.GetAudit().GetMajority() {
+		result.Group = link.deployment.groups[vm]
+	}
 	return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
 }
 
@@ -225,6 +230,9 @@
 		deployment.open()
 	case "begin":
 		return deployment.begin(vm, words[2], words[3])
+	case "group": // states the number and the VMs of the group in answers of a VM
+		number, _ := strconv.ParseUint(words[2], 10, 64)
+		deployment.groups[vm] = &wire.ControlGroup{Number: number, Vms: words[3:]}
 	case "majority":
 		return deployment.majority(vm, words[2], words[3])
 	case "members":
@@ -274,6 +282,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			deployment := &deployment{
 				vms: make(map[core.VMID]*Auditor), disks: make(map[core.VMID]*disk), modes: make(map[core.VMID]string),
+				groups: make(map[core.VMID]*wire.ControlGroup),
 			}
 			for line := range strings.Lines(data.Input) {
 				text.WriteString(deployment.run(t, strings.Fields(line)))
--- a/internal/auditor/delivery.go
+++ b/internal/auditor/delivery.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/dandelionring/dandelionring/internal/wire"
 	"github.com/dandelionring/dandelionring/pkg/audit"
 	"github.com/dandelionring/dandelionring/pkg/core"
 )
@@ -172,11 +173,17 @@
 	if member.VM == auditor.options.Self.VM {
 		return auditor.appendLocal(batch)
 	}
-	durable, err := auditor.callBatch(ctx, member.VM, batch, secondCopy)
-	if err == nil && !durable {
+	_, err := auditor.storeDurably(ctx, member.VM, batchRequest(batch, secondCopy))
+	return err
+}
+
+// storeDurably sends a batch to another VM. It returns an error unless that VM has synced it.
+func (auditor *Auditor) storeDurably(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.AuditResult, error) {
+	result, err := auditor.callBatch(ctx, vm, request)
+	if err == nil && !result.GetDurable() {
 		err = errors.New("the VM has no disk")
 	}
-	return err
+	return result, err
 }
 
 func (auditor *Auditor) appendLocal(batch []*pendingRecord) error {
@@ -194,25 +201,26 @@
 func (auditor *Auditor) sendBatch(vm core.VMID, batch []*pendingRecord, secondCopy bool) (bool, error) {
 	ctx, cancel := context.WithTimeout(auditor.ctx, callTimeout)
 	defer cancel()
-	return auditor.callBatch(ctx, vm, batch, secondCopy)
+	result, err := auditor.callBatch(ctx, vm, batchRequest(batch, secondCopy))
+	return result.GetDurable(), err
 }
 
-// callBatch sends a batch to another VM and returns whether that VM has synced it on its
-// disk. It returns an error if the VM did not respond before the context ended or did not
-// accept the batch.
-func (auditor *Auditor) callBatch(ctx context.Context, vm core.VMID, batch []*pendingRecord, secondCopy bool) (bool, error) {
-	response, err := auditor.options.Caller.Call(ctx, vm, batchRequest(batch, secondCopy))
+// callBatch sends a batch to another VM and returns its answer, which states whether that VM has
+// synced the batch on its disk. It returns an error if the VM did not respond before the context
+// ended or did not accept the batch.
+func (auditor *Auditor) callBatch(ctx context.Context, vm core.VMID, request *wire.Request) (*wire.AuditResult, error) {
+	response, err := auditor.options.Caller.Call(ctx, vm, request)
 	if err != nil {
-		return false, errors.Wrap(err, "send audit records")
+		return nil, errors.Wrap(err, "send audit records")
 	}
 	result := response.GetAuditResult()
 	if result == nil {
-		return false, errors.New("the response contains no audit result")
+		return nil, errors.New("the response contains no audit result")
 	}
 	if result.GetReason() != "" {
-		return false, errors.New(result.GetReason())
+		return nil, errors.New(result.GetReason())
 	}
-	return result.GetDurable(), nil
+	return result, nil
 }
 
 // finishDelivery removes a batch from the queue, queues it for its second copy, and lets
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -111,6 +111,8 @@
 	shared map[core.UpstreamID]departure
 	// versions holds the software versions that upstreams announced lately, to any control VM.
 	versions origin.History
+	// group is the group of the control VMs. It is used by answers about origins only.
+	group origin.Group
 	// judge decides which content of requests crashes upstreams.
 	judge conviction.Judge
 	// throttles holds the limits of upstreams and grants turns at them.
@@ -184,6 +186,7 @@
 	if control.options.RecordFolder != "" {
 		running.Go(func() { control.origins.restore(control.options.RecordFolder, control.options.Logger) })
 	}
+	running.Go(func() { control.completeOrigins(ctx) })
 	running.Go(func() { control.followState(ctx) })
 	running.Go(func() { control.saveLoop(ctx) })
 	running.Go(func() { control.renewLoop(ctx) })
--- a/internal/control/handler.go
+++ b/internal/control/handler.go
@@ -58,10 +58,15 @@
 		return &wire.Response{Body: &wire.Response_QuotaResult{QuotaResult: control.grantQuotas(body.QuotaRequest)}}, nil
 	case *wire.Request_OriginQuery:
 		return &wire.Response{Body: &wire.Response_OriginResult{OriginResult: control.answerOriginQuery(ctx, body.OriginQuery)}}, nil
+	case *wire.Request_OriginFetch:
+		return &wire.Response{Body: &wire.Response_OriginRecords{OriginRecords: control.originRecords(body.OriginFetch)}}, nil
 	case *wire.Request_Audit:
 		control.origins.addBatch(clock.Now(), body.Audit)
 		if control.options.Records != nil {
 			result := control.options.Records.Receive(ctx, body.Audit)
+			if body.Audit.GetMajority() {
+				result.Group = peer.ControlGroupMessage(control.view())
+			}
 			return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
 		}
 	}
--- a/internal/control/origin.go
+++ b/internal/control/origin.go
@@ -74,13 +74,25 @@
 	if from.Software == audit.UnknownSoftware {
 		from.Software = ""
 	}
+	origins.adopt(now, record.Request, from)
+}
+
+// adopt adds the origin of a stream and answers the questions that wait for it.
+func (origins *origins) adopt(now time.Duration, request core.RequestID, from origin.Origin) {
 	origins.lock.Lock()
 	defer origins.lock.Unlock()
-	origins.table.Add(now, record.Request, from)
-	for _, known := range origins.waiting[record.Request] {
+	origins.table.Add(now, request, from)
+	for _, known := range origins.waiting[request] {
 		close(known)
 	}
-	delete(origins.waiting, record.Request)
+	delete(origins.waiting, request)
+}
+
+// recent returns the streams that became known lately, and false if they are too many for an answer.
+func (origins *origins) recent(now time.Duration) ([]origin.Stream, bool) {
+	origins.lock.Lock()
+	defer origins.lock.Unlock()
+	return origins.table.Recent(now, maxFetchedStreams)
 }
 
 // find returns the origin of a stream. If it is not known, find returns a channel that is
@@ -153,13 +165,14 @@
 		from, found, waited = control.origins.await(ctx, core.RequestID(query.GetRequest()), wait)
 	}
 	originCounts.Inc(strconv.FormatBool(found), strconv.FormatBool(waited))
-	restored := control.origins.isRestored()
+	view := control.view()
+	complete := control.hasAllOrigins() && (view.Number > 0 || control.options.Host == nil)
 	now := clock.Now()
 	control.lock.Lock()
 	defer control.lock.Unlock()
 	return peer.OriginMessage(origin.Answer{
 		Found: found, Origin: from, Sole: control.versions.Sole(now, core.ServiceID(query.GetService())),
-		Complete: restored && control.versions.Complete(now),
+		Complete: complete, View: view,
 	})
 }
 
--- a/internal/fleet/origin.go
+++ b/internal/fleet/origin.go
@@ -27,7 +27,7 @@
 )
 
 // FindOrigin asks all control VMs for the origin of the stream whose first event the answer to
-// a request brought. A majority of them must say what they know now, which shows each send to
+// a request brought. A majority of their group, as the latest of them knows it, must say what they know now, which shows each send to
 // another software version; it is waited for until the time wait has passed. If none of them knows a
 // send, the record of the only ones may be on its way, and is waited for as well. If none knows one by
 // then, or the request is empty, the origin is the only software version that the service had lately,
@@ -96,18 +96,22 @@
 func (question *originQuestion) ask(ctx context.Context, wait, limit time.Duration, enough func(*origin.Survey) bool) *origin.Survey {
 	ctx, cancel := context.WithTimeout(ctx, limit+originReplyMargin)
 	defer cancel()
-	answers := make(chan *wire.OriginResult, len(question.asked))
+	type reply struct {
+		vm     core.VMID
+		result *wire.OriginResult
+	}
+	answers := make(chan reply, len(question.asked))
 	for _, vm := range question.asked {
 		go func() {
-			answers <- question.follower.askOrigin(ctx, vm, question.service, question.request, wait)
+			answers <- reply{vm, question.follower.askOrigin(ctx, vm, question.service, question.request, wait)}
 		}()
 	}
 	survey := &origin.Survey{Asked: len(question.asked)}
 	for range question.asked {
 		select {
 		case answer := <-answers:
-			if answer != nil {
-				survey.Add(peer.OriginFromMessage(answer))
+			if answer.result != nil {
+				survey.Add(answer.vm, peer.OriginFromMessage(answer.result))
 			}
 		case <-ctx.Done():
 			return survey
--- a/internal/fleet/origin_test.go
+++ b/internal/fleet/origin_test.go
@@ -67,8 +67,8 @@
 // TestOriginScripts guards against a stream that is continued at the version of an earlier send
 // of its request, as only a minority or VMs that have lost records know it; against a wait for
 // control VMs that do not answer although a majority does; against a refusal while control VMs
-// restart; against a record that is on its way and
-// is not waited for; and against a version that is taken for the only one although a control VM
+// restart; against a majority of control VMs that do not make the group any more; against a record
+// that is on its way and is not waited for; and against a version that is taken for the only one although a control VM
 // knows of another, or too few know.
 func TestOriginScripts(t *testing.T) {
 	datadriven.RunTest(t, "testdata/origins", func(t *testing.T, data *datadriven.TestData) string {
@@ -114,6 +114,12 @@
 			reply.after = time.Duration(number) * time.Millisecond
 		case "back":
 			reply.backAfter = time.Duration(number) * time.Millisecond
+		case "group":
+			number, vms, _ := strings.Cut(value, ":")
+			reply.answer.View.Number, _ = strconv.ParseUint(number, 10, 64)
+			for vm := range strings.SplitSeq(vms, ",") {
+				reply.answer.View.VMs = append(reply.answer.View.VMs, core.VMID(vm))
+			}
 		case "sole":
 			reply.answer.Sole = core.SoftwareVersion(value)
 		case "failed":
--- a/pkg/policy/origin/history.go
+++ b/pkg/policy/origin/history.go
@@ -47,11 +47,31 @@
 			delete(versions, other)
 		}
 	}
-	if _, known := versions[software]; known || len(versions) < maxVersions {
-		versions[software] = now
+	if last, known := versions[software]; known || len(versions) < maxVersions {
+		versions[software] = max(now, last)
 	}
 }
 
+// Heard is an announcement of a software version, and the time since the last one.
+type Heard struct {
+	Service  core.ServiceID
+	Software core.SoftwareVersion
+	Age      time.Duration
+}
+
+// Recent returns the versions that were announced lately.
+func (history *History) Recent(now time.Duration) []Heard {
+	var recent []Heard
+	for service, versions := range history.heard {
+		for software, at := range versions {
+			if now-at < memory {
+				recent = append(recent, Heard{service, software, now - at})
+			}
+		}
+	}
+	return recent
+}
+
 // Sole returns the version of a service if upstreams announced no other one lately. It returns
 // an empty one if there were several or none, or if the history is not complete.
 func (history *History) Sole(now time.Duration, service core.ServiceID) core.SoftwareVersion {
--- a/pkg/policy/origin/script_test.go
+++ b/pkg/policy/origin/script_test.go
@@ -18,14 +18,16 @@
 // another one served a moment ago, and against events that a caller gets twice.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		table, history := &Table{}, &History{}
+		table, history, group := &Table{}, &History{}, &Group{}
 		datadriven.RunTest(t, path, func(_ *testing.T, data *datadriven.TestData) string {
 			switch data.Cmd {
 			case "allows":
 				return runRule(data)
 			case "position":
 				return runPosition(data)
-			case "note", "sole", "start", "agreed":
+			case "set", "view", "join":
+				return runGroup(group, data)
+			case "note", "sole", "start", "agreed", "recent":
 				return runHistory(history, data)
 			default:
 				return runTable(table, data)
@@ -47,6 +49,9 @@
 		for i := range intArg(data, "count") {
 			table.Add(now, core.RequestID(fmt.Sprint("fill-", i)), Origin{Service: "s", Software: "v1", Send: 1})
 		}
+	case "recent":
+		recent, ok := table.Recent(now, intArg(data, "limit"))
+		return fmt.Sprintln(recent, ok)
 	case "len":
 		return fmt.Sprintln(table.Len())
 	case "find":
@@ -94,6 +99,11 @@
 		history.Note(now, service, core.SoftwareVersion(textArg(data, "software")))
 	case "start":
 		history.Start(now)
+	case "recent":
+		for _, heard := range history.Recent(now) {
+			return fmt.Sprintln(heard.Service, heard.Software, heard.Age)
+		}
+		return "none\n"
 	case "sole":
 		return fmt.Sprintf("%q\n", history.Sole(now, service))
 	case "agreed":
@@ -110,6 +120,31 @@
 	return "ok\n"
 }
 
+// runGroup applies a command to a Group. Times are in milliseconds.
+func runGroup(group *Group, data *datadriven.TestData) string {
+	now := time.Duration(intArg(data, "at")) * time.Millisecond
+	switch data.Cmd {
+	case "set":
+		group.Set(now, uint64(intArg(data, "number")), vmArgs(data, "vms"), vmArgs(data, "replaced"))
+	case "join":
+		other := View{Number: uint64(intArg(data, "number")), VMs: vmArgs(data, "vms")}
+		return fmt.Sprintln(group.View(now).Join(other))
+	}
+	return fmt.Sprintln(group.View(now))
+}
+
+func vmArgs(data *datadriven.TestData, name string) []core.VMID {
+	var vms []core.VMID
+	for _, arg := range data.CmdArgs {
+		if arg.Key == name {
+			for _, value := range arg.Vals {
+				vms = append(vms, core.VMID(value))
+			}
+		}
+	}
+	return vms
+}
+
 // textArg returns the first value of an argument, or "" if it is missing or has none.
 func textArg(data *datadriven.TestData, name string) string {
 	for _, arg := range data.CmdArgs {
--- a/pkg/policy/origin/table.go
+++ b/pkg/policy/origin/table.go
@@ -80,6 +80,26 @@
 	return known.origin, true
 }
 
+// Stream is the origin of the stream of a request.
+type Stream struct {
+	Request core.RequestID
+	Origin  Origin
+}
+
+// Recent returns the streams that became known lately, and false if there are more than limit.
+func (table *Table) Recent(now time.Duration, limit int) ([]Stream, bool) {
+	var recent []Stream
+	for _, request := range table.order[table.first:] {
+		if known := table.entries[request]; now-known.since < memory {
+			if len(recent) == limit {
+				return nil, false
+			}
+			recent = append(recent, Stream{request, known.origin})
+		}
+	}
+	return recent, true
+}
+
 // Len returns the number of streams in the table.
 func (table *Table) Len() int { return len(table.entries) }
 
--- a/pkg/replica/raft/node.go
+++ b/pkg/replica/raft/node.go
@@ -188,6 +188,8 @@
 	// it is not committed and one of both allows halves, those of the membership before. The
 	// caller must not change them.
 	Electors []ReplicaID
+	// MembershipIndex is the index of the entry that set Membership.
+	MembershipIndex Index
 	// MembershipCommitted is set if the entry that set Membership is committed.
 	MembershipCommitted bool
 	// CommittedInTerm is set if this leader has committed an entry of its own term, so that
@@ -204,6 +206,7 @@
 		ID: node.config.ID, Role: node.role, Term: node.hardState.Term, Leader: node.leader,
 		Commit: node.hardState.Commit, Applied: node.applied, Last: node.log.last(),
 		Snapshot: node.snapshot.Index, Membership: node.members(), Electors: node.electors(),
+		MembershipIndex:     node.memberships[len(node.memberships)-1].index,
 		MembershipCommitted: node.memberships[len(node.memberships)-1].index <= node.hardState.Commit,
 		CommittedInTerm:     node.role == Leader && node.hardState.Commit >= node.termStartIndex,
 		Confirmed:           node.confirmedRound(),
