Keep a restored upstream that a control VM does not hear

Cause: a control VM took restored upstreams that it had not heard for 3 s after its start for gone, for all VMs and for good, though it was cut off from those that heard them.

Change: a restored upstream stays silent until it is announced again, or is removed after 30 s as any other.

--- a/internal/control/upstream_cache.go
+++ b/internal/control/upstream_cache.go
@@ -13,13 +13,8 @@
 	"github.com/dandelionring/dandelionring/pkg/replica/wal"
 )
 
-const (
-	// saveInterval is the minimum time between two writes of the known upstreams.
-	saveInterval = 500 * time.Millisecond
-	// restoredTTL is the time after a start for which a restored upstream is kept without an
-	// announcement.
-	restoredTTL = 3 * time.Second
-)
+// saveInterval is the minimum time between two writes of the known upstreams.
+const saveInterval = 500 * time.Millisecond
 
 // upstreamCache keeps the known upstreams in a file across a restart. Without it, a
 // deployment whose VMs were all killed serves nothing until the upstreams have announced
@@ -27,19 +22,17 @@
 // taken from it, and after a loss of power an older file would hide the newest ones. Without
 // a file that can be read, the history of the versions is not complete.
 type upstreamCache struct {
-	path    string
-	system  wal.FileSystem
-	savedAt time.Duration
-	dirty   bool
-	// restored holds the restored upstreams with their sequence numbers, until
-	// restoredUntil.
-	restored      map[core.UpstreamID]uint64
-	restoredUntil time.Duration
-	saveFailed    bool
+	path       string
+	system     wal.FileSystem
+	savedAt    time.Duration
+	dirty      bool
+	saveFailed bool
 }
 
-// restoreUpstreams adds the upstreams in the file to the known ones, as silent. It skips
-// those that were leaving or gone. The caller holds the lock.
+// restoreUpstreams adds the upstreams in the file to the known ones, as silent. One that is not
+// announced again stays silent until it is removed: this VM may be cut off from those that hear it,
+// so its own silence does not show that an upstream is gone. It skips those that were leaving or
+// gone. The caller holds the lock.
 func (control *Control) restoreUpstreams(now time.Duration) {
 	data, err := os.ReadFile(control.cache.path)
 	if errors.Is(err, os.ErrNotExist) {
@@ -56,8 +49,7 @@
 	}
 	// The file holds all that were known at most saveInterval before the end.
 	control.versions.CompleteFrom = now
-	control.cache.restored = make(map[core.UpstreamID]uint64)
-	control.cache.restoredUntil = now + restoredTTL
+	restored := 0
 	for i, entry := range entries {
 		instance, err := decodeUpstream(entry)
 		if err != nil {
@@ -70,9 +62,9 @@
 		}
 		instance.Silent = true
 		control.known.Announce(now, instance)
-		control.cache.restored[instance.Upstream] = instance.Sequence
+		restored++
 	}
-	control.options.Logger.Info("Upstreams known before the start were taken in.", "upstreams", len(control.cache.restored))
+	control.options.Logger.Info("Upstreams known before the start were taken in.", "upstreams", restored)
 }
 
 // decodeUpstream decodes and checks one entry of the file.
@@ -87,26 +79,6 @@
 	return instance, nil
 }
 
-// expireRestored marks the restored upstreams that have not announced themselves in time as
-// gone. The caller holds the lock.
-func (control *Control) expireRestored(now time.Duration) {
-	if len(control.cache.restored) == 0 || now < control.cache.restoredUntil {
-		return
-	}
-	for id, sequence := range control.cache.restored {
-		instance, ok := control.known.Get(id)
-		if !ok || instance.Sequence != sequence || !instance.Silent {
-			continue
-		}
-		instance.Gone = true
-		control.known.Merge(instance)
-		control.hub.publishInstance(instance)
-		control.setUpstream(now, instance)
-		control.options.Logger.Info("An upstream known before the start did not announce itself in time.", "upstream", id)
-	}
-	control.cache.restored = nil
-}
-
 // saveLoop saves the known upstreams periodically until the context ends. It runs in its
 // own goroutine, since a disk can hang.
 func (control *Control) saveLoop(ctx context.Context) {
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -66,7 +66,6 @@
 		control.publish(now, instance)
 	}
 	control.known.Expire(now)
-	control.expireRestored(now)
 	control.notePace(now)
 	delay := stepInterval
 	for _, zone := range control.owned {
