Let no announcement for an unknown service replace an upstream of a named one

Cause: the tables of the upstreams took each announcement for one of their own, and the process with the later start replaced the upstream.

Change: the tables know the services that the route table names. An upstream of a named service gives way to none of another one, and replaces it whatever their times.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -104,6 +104,8 @@
 	leaseEnd    time.Duration
 	usage       usageTable
 	engineSpecs map[core.ServiceID]core.EngineSpec
+	// namedBy is the number of the route table whose services the tables of the upstreams know.
+	namedBy core.ConfigNumber
 	// revisionIndex is the log index of the last adapter revision that was applied.
 	revisionIndex uint64
 	cache         upstreamCache
--- a/internal/control/state.go
+++ b/internal/control/state.go
@@ -300,8 +300,15 @@
 }
 
 // setSpecs stores the engine specifications of the route table and adds the engines of new
-// ones to the residency tables. The caller holds the lock.
+// ones to the residency tables. It tells the tables of the upstreams which services a new route
+// table names. The caller holds the lock.
 func (control *Control) setSpecs(now time.Duration, routes core.RouteTable) {
+	if routes.Number != control.namedBy {
+		control.namedBy = routes.Number
+		services := routes.NamedServices()
+		control.members.SetServices(services)
+		control.known.SetServices(services)
+	}
 	for _, service := range routes.Services {
 		if service.Engine == nil {
 			continue
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -149,6 +149,9 @@
 		}
 		if table.index.CompareAndSwap(current, next(current)) {
 			table.routesReadyOnce.Do(func() { close(table.routesReady) })
+			table.lock.Lock()
+			defer table.lock.Unlock()
+			table.members.SetServices(table.Routes().Table().NamedServices())
 			return true
 		}
 	}
--- a/pkg/core/route.go
+++ b/pkg/core/route.go
@@ -145,6 +145,20 @@
 	return ServiceSpec{}, false
 }
 
+// NamedServices returns the services that the table describes or that its routes lead to.
+func (table *RouteTable) NamedServices() map[ServiceID]bool {
+	services := make(map[ServiceID]bool)
+	for _, service := range table.Services {
+		services[service.Service] = true
+	}
+	for _, route := range table.Routes {
+		for _, target := range route.Targets {
+			services[target.Service] = true
+		}
+	}
+	return services
+}
+
 // WeightKey identifies weights that an engine loads: a base model, or one of its
 // adapters.
 type WeightKey struct {
--- a/pkg/policy/membership/script_test.go
+++ b/pkg/policy/membership/script_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -13,19 +14,27 @@
 )
 
 // TestScripts guards against an upstream that becomes available again through a late
-// announcement, keeps an address that another upstream has taken over, or stays in use
-// after it announced that it is leaving.
+// announcement, keeps an address that another upstream has taken over, stays in use
+// after it announced that it is leaving, or gets no request any more because another writer
+// announced its ID or address for a service that no configuration names.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		table := NewTable(Timing{Silence: 4 * time.Second, Removal: 30 * time.Second})
 		datadriven.RunTest(t, path, func(t *testing.T, data *datadriven.TestData) string {
 			instance := core.Instance{
 				Upstream: core.UpstreamID(argument(data, "id")), Born: integerArgument(data, "born"), Sequence: uint64(integerArgument(data, "seq")),
-				Service: "s", Address: argument(data, "address"), Zone: "z", Slots: 1,
+				Service: core.ServiceID(cmp.Or(argument(data, "service"), "s")), Address: argument(data, "address"), Zone: "z", Slots: 1,
 				Leaving: data.HasArg("leaving"), Gone: data.HasArg("gone"), Silent: data.HasArg("silent"),
 			}
 			now := time.Duration(integerArgument(data, "at")) * time.Second
 			switch data.Cmd {
+			case "services":
+				services := make(map[core.ServiceID]bool)
+				for _, arg := range data.CmdArgs {
+					services[core.ServiceID(arg.Key)] = true
+				}
+				table.SetServices(services)
+				return "ok\n"
 			case "announce":
 				return fmt.Sprintf("changed=%t\n", table.Announce(now, instance))
 			case "merge":
--- a/pkg/policy/membership/table.go
+++ b/pkg/policy/membership/table.go
@@ -29,6 +29,8 @@
 	timing    Timing
 	entries   map[core.UpstreamID]*entry
 	addresses map[string]core.UpstreamID
+	// services are those that the configuration names, nil while that is not known.
+	services map[core.ServiceID]bool
 }
 
 // NewTable returns an empty table.
@@ -36,18 +38,33 @@
 	return &Table{timing: timing, entries: make(map[core.UpstreamID]*entry), addresses: make(map[string]core.UpstreamID)}
 }
 
+// SetServices sets the services that the configuration names. An announcement for another service
+// may come from another writer, so it does not replace an upstream of a named one.
+func (table *Table) SetServices(services map[core.ServiceID]bool) { table.services = services }
+
+// yields reports whether the entry of an upstream gives way to an announcement whatever their
+// times: its service is not named, and that of the announcement is.
+func (table *Table) yields(current, announced core.Instance) bool {
+	return table.services != nil && !table.services[current.Service] && table.services[announced.Service]
+}
+
 // Announce applies an announcement. It has no effect if the announcement is not newer
 // than the last one of the upstream, or if its address belongs to an upstream that
-// started later. It returns whether a field that is relevant to senders changed (see
+// started later. An upstream of a named service gives way to no other one, and one of another
+// service gives way to it. Announce returns whether a field that is relevant to senders changed (see
 // equalForSenders).
 func (table *Table) Announce(now time.Duration, instance core.Instance) bool {
 	current := table.entries[instance.Upstream]
-	if current != nil && !newer(instance, current.instance) {
+	replaces := current != nil && table.yields(current.instance, instance)
+	if current != nil && !replaces && (table.yields(instance, current.instance) || !newer(instance, current.instance)) {
 		return false
 	}
 	if !table.claimAddress(instance) {
 		return false
 	}
+	if replaces {
+		current.instance = core.Instance{}
+	}
 	if current == nil {
 		current = &entry{}
 		table.entries[instance.Upstream] = current
@@ -76,7 +93,7 @@
 		return true
 	}
 	if other := table.entries[holder]; other != nil && other.instance.Address == instance.Address {
-		if other.instance.Born > instance.Born {
+		if table.yields(instance, other.instance) || other.instance.Born > instance.Born && !table.yields(other.instance, instance) {
 			return false
 		}
 		other.instance.Gone = true
