Bound the texts of callers in audit records and log lines

Cause: the records that wait for the disks were bounded by number only, and each held the ID twice. 14 s after the start one VM held 10,009 records and 2,313 copies in 215 MB of heap.

Second copies are bounded in bytes as well, and lines of the log to 4,096 bytes.

Tests of the bounds are added; the code before has none to test.

--- a/internal/auditor/auditor.go
+++ b/internal/auditor/auditor.go
@@ -27,6 +27,8 @@
 
 const (
 	defaultQueue = 32768
+	// maxCopyBytes bounds the encoded records that wait for their second copy.
+	maxCopyBytes = 48 << 20
 	// defaultCopies limits the second copies that are not acknowledged yet.
 	defaultCopies = 65536
 	// batchRecords and batchBytes keep a batch below the 4 MiB limit of a frame between
@@ -115,6 +117,8 @@
 	openStarts int
 	queue      []*pendingRecord
 	copies     []*pendingRecord
+	// copyBytes is the size of the payloads of copies.
+	copyBytes int
 	// bufferedCount is the number of records at the front of the queue that are known to
 	// be buffered. It avoids a scan of the whole queue for each new record while no disk
 	// can be reached.
@@ -276,10 +280,12 @@
 	auditor.enqueue(record, nil)
 }
 
-// enqueue numbers the record, appends it to the queue and returns it with its number. The caller
-// holds the mutex.
+// enqueue numbers the record, appends it to the queue and returns it with its number. The texts that
+// callers choose are bounded, as the queue is bounded by the number of records. The caller holds the
+// mutex.
 func (auditor *Auditor) enqueue(record audit.Record, accepted chan struct{}) audit.Record {
 	auditor.sequence++
+	record = record.Bounded()
 	record.VM, record.Incarnation, record.Sequence = auditor.options.Self.VM, auditor.options.Incarnation, auditor.sequence
 	auditor.queue = append(auditor.queue, &pendingRecord{record: record, accepted: accepted})
 	queueLength.Set(float64(len(auditor.queue)))
--- a/internal/auditor/copies.go
+++ b/internal/auditor/copies.go
@@ -40,15 +40,23 @@
 	return closed || auditor.waitFor(nil, auditor.options.CopyDelay)
 }
 
-// addCopies queues a batch for its second copy. If more than Options.Copies are queued, the
-// oldest are dropped: they are on one disk already, and requests do not wait for second
-// copies. The caller holds the mutex.
+// addCopies queues a batch for its second copy. If more than Options.Copies are queued, or more than
+// maxCopyBytes, the oldest are dropped: they are on one disk already, and requests do not wait for
+// second copies. The caller holds the mutex.
 func (auditor *Auditor) addCopies(batch []*pendingRecord) {
 	if len(auditor.targets.disks) < 2 {
 		return
 	}
 	auditor.copies = append(auditor.copies, batch...)
-	if over := len(auditor.copies) - auditor.options.Copies; over > 0 {
+	for _, item := range batch {
+		auditor.copyBytes += len(item.payload)
+	}
+	over := 0
+	for over < len(auditor.copies)-auditor.options.Copies || auditor.copyBytes > maxCopyBytes {
+		auditor.copyBytes -= len(auditor.copies[over].payload)
+		over++
+	}
+	if over > 0 {
 		auditor.copies = auditor.copies[over:]
 		auditor.droppedCopies += uint64(over)
 		copiesDroppedTotal.Add(over)
@@ -78,6 +86,7 @@
 	defer auditor.mutex.Unlock()
 	for _, item := range batch {
 		if len(auditor.copies) > 0 && auditor.copies[0] == item {
+			auditor.copyBytes -= len(item.payload)
 			auditor.copies = auditor.copies[1:]
 		}
 	}
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -11,6 +11,9 @@
 const (
 	// maxQueuedLines bounds the number of lines that wait for a slow output.
 	maxQueuedLines = 1024
+	// maxLineBytes bounds a line, which may hold texts that callers choose. The end of a longer
+	// line is left out.
+	maxLineBytes = 4096
 	// maxLinesPerSecond bounds the volume under load: 120 KB per second with lines of 300
 	// bytes.
 	maxLinesPerSecond = 400
@@ -50,13 +53,22 @@
 		return len(line), nil
 	}
 	select {
-	case writer.lines <- append([]byte(nil), line...):
+	case writer.lines <- boundLine(line):
 	default:
 		writer.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// boundLine returns a copy of a line that ends with a line feed and has at most maxLineBytes.
+func boundLine(line []byte) []byte {
+	const mark = "...\n"
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	return append(append([]byte(nil), line[:maxLineBytes-len(mark)]...), mark...)
+}
+
 // allow counts a line and reports whether it is within the limit of the current second.
 // The caller holds the lock.
 func (writer *boundedWriter) allow(now time.Time) bool {
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -49,6 +49,21 @@
 	})
 }
 
+// TestLongLines guards against lines that take more memory than their number allows, as callers
+// choose texts in them.
+func TestLongLines(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	writer, closeWriter := NewBoundedWriter(&out)
+	long := "request=" + strings.Repeat("i", 7500) + " outcome=refused\n"
+	count, err := writer.Write([]byte(long))
+	is.NoErr(err)
+	is.Equal(count, len(long))
+	closeWriter()
+	is.Equal(out.Len(), maxLineBytes)
+	is.True(strings.HasPrefix(long, strings.TrimSuffix(out.String(), "...\n")))
+}
+
 // TestStructuredErrors guards against an error that spans several lines of the log.
 func TestStructuredErrors(t *testing.T) {
 	is := is.New(t)
--- a/pkg/audit/history.go
+++ b/pkg/audit/history.go
@@ -75,6 +75,8 @@
 		return slices.ContainsFunc(grant.Services, func(service core.ServiceGrant) bool { return service.Service == needed.service })
 	}
 	return slices.ContainsFunc(grant.Adapters, func(adapter core.AdapterGrant) bool {
-		return adapter.Adapter == needed.adapter && slices.Contains(adapter.Versions, needed.version)
+		return BoundText(adapter.Adapter) == needed.adapter && slices.ContainsFunc(adapter.Versions, func(version core.Version) bool {
+			return BoundText(version) == needed.version
+		})
 	})
 }
--- a/pkg/audit/request.go
+++ b/pkg/audit/request.go
@@ -35,8 +35,10 @@
 }
 
 // RequestRecords returns all records of one request, sorted by time and then by sequence
-// number. It returns an error if files cannot be read.
+// number. The request may be named by its ID or by the form that BoundText returns for it.
+// RequestRecords returns an error if files cannot be read.
 func RequestRecords(folders []string, request core.RequestID) ([]Record, error) {
+	request = BoundText(request)
 	var records []Record
 	for record, err := range DistinctRecords(folders) {
 		if err != nil {
