--- a/internal/auditor/auditor_test.go
+++ b/internal/auditor/auditor_test.go
@@ -32,10 +32,10 @@
 	vms     map[core.VMID]*Auditor
 	disks   map[core.VMID]*disk
 	closers []func()
-	// groups are the groups of control VMs that VMs state.
-	groups map[core.VMID]*wire.ControlGroup
 
 	mutex sync.Mutex
+	// groups are the groups of control VMs that VMs state.
+	groups map[core.VMID]*wire.ControlGroup
 	// modes holds the state of a VM: empty, down (calls fail at once), silent (calls time
 	// out) or lost (its answers are lost).
 	modes map[core.VMID]string
@@ -93,7 +93,7 @@
 	}
 	result := link.deployment.vms[vm].Receive(ctx, request.GetAudit())
 	if request.GetAudit().GetMajority() {
-		result.Group = link.deployment.groups[vm]
+		result.Group = link.deployment.group(vm)
 	}
 	return &wire.Response{Body: &wire.Response_AuditResult{AuditResult: result}}, nil
 }
@@ -110,6 +110,18 @@
 	deployment.modes[vm] = mode
 }
 
+func (deployment *deployment) group(vm core.VMID) *wire.ControlGroup {
+	deployment.mutex.Lock()
+	defer deployment.mutex.Unlock()
+	return deployment.groups[vm]
+}
+
+func (deployment *deployment) setGroup(vm core.VMID, group *wire.ControlGroup) {
+	deployment.mutex.Lock()
+	defer deployment.mutex.Unlock()
+	deployment.groups[vm] = group
+}
+
 // open starts an auditor on every VM.
 func (deployment *deployment) open() {
 	for _, member := range deployment.members {
@@ -232,7 +244,7 @@
 		return deployment.begin(vm, words[2], words[3])
 	case "group": // states the number and the VMs of the group in answers of a VM
 		number, _ := strconv.ParseUint(words[2], 10, 64)
-		deployment.groups[vm] = &wire.ControlGroup{Number: number, Vms: words[3:]}
+		deployment.setGroup(vm, &wire.ControlGroup{Number: number, Vms: words[3:]})
 	case "majority":
 		return deployment.majority(vm, words[2], words[3])
 	case "members":
